--- a/src/build-scripts/check_layout.py
+++ b/src/build-scripts/check_layout.py
@@ -5,8 +5,8 @@
 import subprocess
 import sys
 
-ORDER = ["core", "telemetry", "http", "protocol", "platform", "membership", "audit", "config",
-         "routing", "scheduling", "api"]
+ORDER = ["core", "telemetry", "http", "protocol", "storage", "membership", "audit", "config",
+         "dispatch", "runtime", "routing", "scheduling", "api"]
 MAX_LINES = 500
 # Files that may be longer, each with its reason.
 LONG_FILES = {}
--- a/src/include/lavenderarch/api/cell_manager.h
+++ b/src/include/lavenderarch/api/cell_manager.h
@@ -4,12 +4,12 @@
 #include "lavenderarch/api/cell_manager_parts.h"
 #include "lavenderarch/api/peer_group.h"
 #include "lavenderarch/api/periodic_task.h"
-#include "lavenderarch/platform/http_object_store.h"
-#include "lavenderarch/platform/http_table.h"
-#include "lavenderarch/platform/http_workers.h"
 #include "lavenderarch/scheduling/adaptive_policy.h"
 #include "lavenderarch/scheduling/cell_map.h"
 #include "lavenderarch/scheduling/cell_owner.h"
+#include "lavenderarch/storage/http_object_store.h"
+#include "lavenderarch/storage/http_table.h"
+#include "lavenderarch/storage/http_workers.h"
 
 #include <map>
 #include <memory>
--- a/src/include/lavenderarch/api/config_watcher.h
+++ b/src/include/lavenderarch/api/config_watcher.h
@@ -4,7 +4,7 @@
 #include "lavenderarch/config/data_centre_store.h"
 #include "lavenderarch/config/manifest_holder.h"
 #include "lavenderarch/config/manifest_store.h"
-#include "lavenderarch/platform/http_table.h"
+#include "lavenderarch/storage/http_table.h"
 
 #include <atomic>
 #include <functional>
--- a/src/include/lavenderarch/config/data_centre_store.h
+++ b/src/include/lavenderarch/config/data_centre_store.h
@@ -4,8 +4,8 @@
 #include "lavenderarch/audit/audit_record.h"
 #include "lavenderarch/config/data_centre_state.h"
 #include "lavenderarch/core/random.h"
-#include "lavenderarch/platform/commit_once.h"
-#include "lavenderarch/platform/parse_row.h"
+#include "lavenderarch/storage/commit_once.h"
+#include "lavenderarch/storage/parse_row.h"
 
 #include <map>
 
--- a/src/include/lavenderarch/config/manifest_store.h
+++ b/src/include/lavenderarch/config/manifest_store.h
@@ -6,8 +6,8 @@
 #include "lavenderarch/config/manifest.h"
 #include "lavenderarch/config/manifest_record.h"
 #include "lavenderarch/core/random.h"
-#include "lavenderarch/platform/commit_once.h"
-#include "lavenderarch/platform/parse_row.h"
+#include "lavenderarch/storage/commit_once.h"
+#include "lavenderarch/storage/parse_row.h"
 
 #include <array>
 #include <cstdio>
--- /dev/null
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -0,0 +1,122 @@
+// Decisions of a cell's owner: which run goes where, what ended, what is stored.
+#pragma once
+
+#include "lavenderarch/dispatch/cell_commit.h"
+#include "lavenderarch/dispatch/dispatch_event.h"
+#include "lavenderarch/dispatch/dispatch_limits.h"
+#include "lavenderarch/dispatch/exchange_reply.h"
+#include "lavenderarch/dispatch/exchange_request.h"
+#include "lavenderarch/dispatch/job_model.h"
+#include "lavenderarch/dispatch/minion_view.h"
+#include "lavenderarch/storage/row.h"
+
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace lavenderarch {
+
+struct QueueCatalog;
+
+/// A state machine without sockets, threads or clocks. Not thread-safe.
+///
+/// The caller feeds it rows, exchanges and the time; it hands out commits and, once a commit is
+/// stored, the orders and confirmations that depend on it. At most one commit is in flight.
+class CellDispatcher
+{
+public:
+    CellDispatcher(std::string cell, DispatchLimits limits, std::int64_t epoch);
+
+    /// Rebuilds the model from the rows of a cell that has been taken over at `now`. Former
+    /// owners may have granted leases until then.
+    void load(const std::vector<Row> &jobs, const std::vector<Row> &progress, BootTime now);
+    /// Takes a new or changed row of the job table.
+    void applyJobRow(const Row &row, BootTime now);
+    void setCatalog(std::shared_ptr<const QueueCatalog> catalog);
+    void setClosedDataCentres(std::set<std::string> dataCentres);
+
+    /// Takes an agent's message; it counts as the start of a lease when `mayGrant`.
+    void take(const ExchangeRequest &request, BootTime now, bool mayGrant);
+    /// The answer to the agent: all orders that it has not confirmed, and a lease if `mayGrant`.
+    ExchangeReply reply(const std::string &agent, bool mayGrant);
+    bool hasOrders(const std::string &agent) const;
+
+    /// Ends leases that lapsed, finds runs that stand still, creates due occurrences.
+    void tick(BootTime now, std::int64_t timeOfDayMs);
+
+    /// Places waiting tasks and returns what has to be stored; nothing when nothing changed or a
+    /// commit is in flight.
+    std::optional<CellCommit> prepareCommit(BootTime now);
+    /// The last prepared commit is stored: its orders and confirmations go out.
+    void commitApplied(BootTime now);
+
+    std::int64_t epoch() const { return m_epoch; }
+    const std::map<std::string, JobModel> &jobs() const { return m_jobs; }
+    const std::map<std::string, MinionView> &minions() const { return m_minions; }
+    /// Decisions since the last call, for the log.
+    std::vector<DispatchEvent> takeEvents();
+
+private:
+    /// What waits until the job's row is stored.
+    struct Staged
+    {
+        std::vector<std::pair<std::string, RunOrder>> orders; // by agent
+        std::vector<std::pair<std::string, std::int64_t>> ends;
+        std::vector<std::pair<std::string, RunKey>> absent;
+    };
+    using Location = std::pair<JobModel *, TaskState *>;
+
+    void addJob(const Row &row);
+    void cancelJob(const std::string &id, BootTime now);
+    void markDirty(JobModel &job);
+    Location locate(const std::string &task);
+
+    void beginSession(MinionView &view, const ExchangeRequest &request);
+    bool takeFacts(MinionView &view, const ExchangeRequest &request, BootTime now);
+    void takeEnds(MinionView &view, const ExchangeRequest &request, BootTime now);
+    void takeEnd(MinionView &view, const RunEnd &end, BootTime now);
+    void takeRuns(MinionView &view, const ExchangeRequest &request, BootTime now);
+    void findMissing(MinionView &view, const ExchangeRequest &request);
+    void loseRuns(MinionView &view, const std::string &reason, BootTime now);
+    void finishRun(JobModel &job, TaskState &task, const RunEnd &end, BootTime now);
+    void noteOutcome(MinionView &view, const JobModel &job, RunOutcome outcome, BootTime now);
+    void advanceEnds(MinionView &view);
+
+    void attach(MinionView &view, const StepSpec &step, const RunKey &run);
+    void detach(MinionView &view, const StepSpec &step, const RunKey &run);
+    void orderStop(MinionView &view, const RunKey &run, std::int64_t &stopOrder);
+    void stopActive(JobModel &job);
+    void send(MinionView &view, RunOrder order, std::int64_t &sequence);
+
+    void findStalled(MinionView &view, BootTime now);
+    void placeWaiting(BootTime now);
+    int placeStep(JobModel &job, int occurrence, std::size_t step, BootTime now, int budget);
+    int placeGang(JobModel &job, int occurrence, std::size_t step, BootTime now);
+    void place(JobModel &job, const TaskName &name, MinionView &view, BootTime now);
+    MinionView *choose(const JobModel &job, int occurrence, std::size_t step, const TaskState &task,
+                       BootTime now);
+    void release(const Staged &staged, BootTime now);
+    void forgetEnded(BootTime now);
+    void note(std::string message, std::vector<std::pair<std::string, std::string>> fields);
+
+    std::string m_cell;
+    DispatchLimits m_limits;
+    std::int64_t m_epoch;
+    std::shared_ptr<const QueueCatalog> m_catalog;
+    std::set<std::string> m_closedDataCentres;
+    std::map<std::string, JobModel> m_jobs;
+    std::map<std::string, MinionView> m_minions; // by agent
+    /// Jobs with tasks that may wait, by (priority, acceptance, id): the order of placement.
+    std::set<std::tuple<int, std::int64_t, std::string>> m_open;
+    std::vector<std::string> m_dirty;          // jobs to store, oldest change first
+    std::set<std::string> m_dirtySet;          // the same jobs
+    std::map<std::string, Staged> m_staged;    // by job
+    std::map<std::string, JobPhase> m_stored;  // phase in the store's state row
+    std::map<std::string, BootTime> m_endedAt; // settled jobs
+    std::vector<std::string> m_forget;         // jobs whose rows are to be deleted
+    std::optional<std::vector<Staged>> m_inFlight;
+    std::vector<DispatchEvent> m_events;
+    bool m_placementDue = true; // something changed that may let a task be placed
+};
+
+} // namespace lavenderarch
--- /dev/null
+++ b/src/include/lavenderarch/dispatch/cell_tables.h
@@ -0,0 +1,28 @@
+// Names and forms of the rows that hold a cell.
+#pragma once
+
+#include "lavenderarch/dispatch/job_phase.h"
+#include "lavenderarch/dispatch/job_spec.h"
+#include "lavenderarch/storage/row_write.h"
+
+namespace lavenderarch::cells {
+
+inline constexpr const char *jobTable = "lav-job";
+inline constexpr const char *stateTable = "lav-state";
+inline constexpr const char *progressTable = "lav-prog";
+inline constexpr const char *ownerTable = "lav-owner";
+inline constexpr const char *ownerKey = "owner";
+/// Rows of jobTable whose key starts so ask for a job's cancellation.
+inline constexpr const char *cancelPrefix = "cancel/";
+
+RowKey jobKey(const std::string &cell, const std::string &job);
+RowKey cancelKey(const std::string &cell, const std::string &job);
+RowKey stateKey(const std::string &cell, const std::string &job);
+RowKey progressKey(const std::string &cell, const std::string &job);
+RowKey ownerRowKey(const std::string &cell);
+
+RowWrite jobWrite(const std::string &cell, const JobSpec &job);
+RowWrite stateWrite(const std::string &cell, const JobSpec &job, JobPhase phase);
+RowWrite removal(RowKey key);
+
+} // namespace lavenderarch::cells
--- /dev/null
+++ b/src/include/lavenderarch/dispatch/job_model.h
@@ -0,0 +1,57 @@
+// The owner's view of one job.
+#pragma once
+
+#include "lavenderarch/dispatch/job_phase.h"
+#include "lavenderarch/dispatch/job_spec.h"
+#include "lavenderarch/dispatch/run_order.h"
+#include "lavenderarch/dispatch/task_name.h"
+#include "lavenderarch/dispatch/task_state.h"
+
+#include <map>
+
+namespace lavenderarch {
+
+/// Tasks of one occurrence by step and index. Not thread-safe.
+class JobModel
+{
+public:
+    using Occurrence = std::vector<std::vector<TaskState>>;
+
+    explicit JobModel(JobSpec spec);
+
+    const JobSpec &spec() const { return m_spec; }
+    JobPhase phase() const { return m_phase; }
+    bool cancelled() const { return m_cancelled; }
+    /// True when no run can be active any more and the phase is final.
+    bool settled() const { return isFinal(m_phase) && m_active == 0; }
+
+    /// Occurrences that exist, by number. An occurrence exists from its due time on.
+    std::map<int, Occurrence> &occurrences() { return m_occurrences; }
+    const std::map<int, Occurrence> &occurrences() const { return m_occurrences; }
+    /// Creates the occurrences that are due at `timeOfDayMs`; true when one was added.
+    bool addDueOccurrences(std::int64_t timeOfDayMs);
+
+    TaskState *find(const TaskName &name);
+    TaskName name(int occurrence, int step, int index) const;
+    /// True when all steps that `step` waits for are done in that occurrence.
+    bool isReady(const Occurrence &occurrence, std::size_t step) const;
+
+    void setPhase(JobPhase phase) { m_phase = phase; }
+    void cancel() { m_cancelled = true; }
+    /// Recounts active runs, and moves Queued and Running jobs forward.
+    void refresh();
+    int activeRuns() const { return m_active; }
+
+    /// Text of the job's progress for the store, and the way back. The error names the field.
+    std::string progressText() const;
+    Status loadProgress(const std::string &text);
+
+private:
+    JobSpec m_spec;
+    JobPhase m_phase = JobPhase::Queued;
+    bool m_cancelled = false;
+    int m_active = 0; ///< tasks in Placed or Stopping, as of refresh()
+    std::map<int, Occurrence> m_occurrences;
+};
+
+} // namespace lavenderarch
--- /dev/null
+++ b/src/include/lavenderarch/dispatch/job_phase.h
@@ -0,0 +1,22 @@
+// State of a job as callers see it.
+#pragma once
+
+#include "lavenderarch/core/json.h"
+
+namespace lavenderarch {
+
+enum class JobPhase { Queued, Running, Done, Failed, Cancelled };
+
+NLOHMANN_JSON_SERIALIZE_ENUM(JobPhase, {{JobPhase::Queued, "queued"},
+                                        {JobPhase::Running, "running"},
+                                        {JobPhase::Done, "done"},
+                                        {JobPhase::Failed, "failed"},
+                                        {JobPhase::Cancelled, "cancelled"}})
+
+/// True for a phase that a job never leaves.
+constexpr bool isFinal(JobPhase phase)
+{
+    return phase != JobPhase::Queued && phase != JobPhase::Running;
+}
+
+} // namespace lavenderarch
--- /dev/null
+++ b/src/include/lavenderarch/dispatch/job_state_row.h
@@ -0,0 +1,21 @@
+// The row by which entries answer questions about a job.
+#pragma once
+
+#include "lavenderarch/dispatch/job_phase.h"
+
+#include <string>
+
+namespace lavenderarch {
+
+/// Value type.
+struct JobStateRow
+{
+    std::string queue;
+    JobPhase phase = JobPhase::Queued;
+    bool timed = false; ///< has occurrences, so that it may wait for long without having begun
+
+    friend bool operator==(const JobStateRow &, const JobStateRow &) = default;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(JobStateRow, queue, phase, timed)
+};
+
+} // namespace lavenderarch
--- /dev/null
+++ b/src/include/lavenderarch/dispatch/minion_life.h
@@ -0,0 +1,20 @@
+// One lifetime of a minion.
+#pragma once
+
+#include "lavenderarch/core/json.h"
+
+#include <string>
+
+namespace lavenderarch {
+
+/// A minion may start again under the same id: only `bornMs` (time of day) tells the lives apart.
+struct MinionLife
+{
+    std::string id;
+    std::int64_t bornMs = 0;
+
+    friend auto operator<=>(const MinionLife &, const MinionLife &) = default;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(MinionLife, id, bornMs)
+};
+
+} // namespace lavenderarch
--- /dev/null
+++ b/src/include/lavenderarch/dispatch/minion_view.h
@@ -0,0 +1,44 @@
+// The owner's view of one agent and its minion.
+#pragma once
+
+#include "lavenderarch/core/boot_clock.h"
+#include "lavenderarch/dispatch/minion_facts.h"
+#include "lavenderarch/dispatch/run_order.h"
+
+#include <deque>
+#include <map>
+#include <set>
+
+namespace lavenderarch {
+
+/// Not thread-safe. A view without facts stands for a minion that a former owner used and that
+/// has not reported yet.
+struct MinionView
+{
+    std::string agent;
+    std::string session;
+    bool registered = false;
+    bool reachable = false; ///< the agent's last call to the minion was answered
+    MinionFacts facts;
+    BootTime lastHeard{}; ///< start of the newest lease that may be in force
+
+    std::int64_t newestMessage = 0;
+    std::int64_t nextOrder = 1;
+    std::deque<RunOrder> outbox;       ///< orders that the agent has not confirmed
+    std::set<RunKey> runs;             ///< runs of Placed and Stopping tasks here
+    std::map<RunKey, Resources> extra; ///< reported runs that the model does not expect
+
+    std::int64_t endsSeen = 0;         ///< all ends up to here are stored
+    std::map<std::int64_t, bool> ends; ///< ends above endsSeen: whether they are stored
+    std::vector<RunKey> absentSeen;    ///< stored Absent ends to confirm with the next answer
+
+    Resources used;             ///< demand of `runs` that counts against capacity
+    std::int64_t fillCores = 0; ///< thousandths of a core that filling tasks here would use
+    int serving = 0;            ///< tasks with a tail target
+
+    std::map<std::string, BootTime> failedJobs; ///< jobs that lately failed here
+    BootTime avoidUntil{};
+    std::int64_t avoidMs = 0;
+};
+
+} // namespace lavenderarch
--- /dev/null
+++ b/src/include/lavenderarch/dispatch/pace_controller.h
@@ -0,0 +1,20 @@
+// Paces filling tasks so that serving tasks beside them keep their tail latency.
+#pragma once
+
+#include "lavenderarch/dispatch/run_ledger.h"
+
+namespace lavenderarch {
+
+/// A run and the share of its work that it may do from now on.
+struct PaceChange
+{
+    RunKey run;
+    int percent = 100;
+
+    friend bool operator==(const PaceChange &, const PaceChange &) = default;
+};
+
+/// Paces to set, given the runs of one minion with their newest load figures.
+std::vector<PaceChange> decidePaces(const std::map<RunKey, RunLedger::LocalRun> &runs);
+
+} // namespace lavenderarch
--- /dev/null
+++ b/src/include/lavenderarch/dispatch/run_key.h
@@ -0,0 +1,20 @@
+// One run of a task.
+#pragma once
+
+#include "lavenderarch/core/json.h"
+
+#include <string>
+
+namespace lavenderarch {
+
+/// `number` counts the starts of the task from 1.
+struct RunKey
+{
+    std::string task;
+    int number = 0;
+
+    friend auto operator<=>(const RunKey &, const RunKey &) = default;
+    NLOHMANN_DEFINE_TYPE_INTRUSIVE(RunKey, task, number)
+};
+
+} // namespace lavenderarch
--- /dev/null
+++ b/src/include/lavenderarch/dispatch/task_name.h
@@ -0,0 +1,25 @@
+// The name of one task of a job.
+#pragma once
+
+#include <compare>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace lavenderarch {
+
+/// Written JOB.OCCURRENCE.STEP.INDEX.
+struct TaskName
+{
+    std::string job;
+    int occurrence = 0;
+    int step = 0;
+    int index = 0;
+
+    std::string text() const;
+    static std::optional<TaskName> parse(std::string_view text);
+
+    friend auto operator<=>(const TaskName &, const TaskName &) = default;
+};
+
+} // namespace lavenderarch
--- a/src/include/lavenderarch/http/http_client.h
+++ b/src/include/lavenderarch/http/http_client.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "lavenderarch/core/address.h"
+#include "lavenderarch/core/boot_clock.h"
 #include "lavenderarch/core/status.h"
 #include "lavenderarch/core/time.h"
 #include "lavenderarch/http/http_request.h"
@@ -18,7 +19,9 @@
 class HttpClient
 {
 public:
-    HttpClient();
+    /// A connection that was idle for `maxIdleTime` is not used again: choose it below the
+    /// servers' own limit.
+    explicit HttpClient(Milliseconds maxIdleTime = Milliseconds(1000));
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
@@ -28,6 +31,9 @@
     /// CorruptedAnswer (the response is shorter than announced or has no length).
     StatusOr<HttpResponse> exchange(const Address &address, const HttpRequest &request,
                                     TimePoint deadline, Resend resend = Resend::Never);
+    /// The same with a deadline on the clock that does not jump.
+    StatusOr<HttpResponse> exchange(const Address &address, const HttpRequest &request,
+                                    BootTime deadline, Resend resend = Resend::Never);
 
 private:
     struct Impl;
--- a/src/include/lavenderarch/routing/group_committer.h
+++ b/src/include/lavenderarch/routing/group_committer.h
@@ -1,7 +1,7 @@
 // Commits small independent transactions of many threads as few large ones.
 #pragma once
 
-#include "lavenderarch/platform/commit_once.h"
+#include "lavenderarch/storage/commit_once.h"
 
 #include <condition_variable>
 #include <memory>
--- a/src/include/lavenderarch/routing/key_claims.h
+++ b/src/include/lavenderarch/routing/key_claims.h
@@ -2,10 +2,10 @@
 #pragma once
 
 #include "lavenderarch/core/digest.h"
-#include "lavenderarch/platform/parse_row.h"
 #include "lavenderarch/routing/claim_record.h"
 #include "lavenderarch/routing/group_committer.h"
 #include "lavenderarch/routing/versioned_claim.h"
+#include "lavenderarch/storage/parse_row.h"
 
 namespace lavenderarch {
 
--- /dev/null
+++ b/src/include/lavenderarch/runtime/job_acceptor.h
@@ -0,0 +1,168 @@
+// Stores accepted jobs, many in one transaction.
+#pragma once
+
+#include "lavenderarch/dispatch/cell_tables.h"
+#include "lavenderarch/storage/row_store.h"
+#include "lavenderarch/telemetry/log.h"
+
+#include <condition_variable>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+namespace lavenderarch {
+
+/// Jobs of one transaction: each takes three of its 100 entries.
+inline constexpr std::size_t maxJobsPerAcceptance = 20;
+/// Transactions in flight from one entry.
+inline constexpr int acceptanceThreads = 3;
+/// One try of a transaction; a healthy store answers in 10 to 40 ms.
+inline constexpr Milliseconds acceptanceTry{700};
+inline constexpr Milliseconds acceptancePause{60};
+
+/// Thread-safe. accept() blocks until the job is stored, known to be stored already, or given up.
+template <RowStore Store>
+class JobAcceptor
+{
+public:
+    explicit JobAcceptor(Store &store)
+        : m_store(store)
+    {
+        for (int index = 0; index < acceptanceThreads; ++index)
+            m_threads.emplace_back([this](const std::stop_token &stop) { run(stop); });
+    }
+    ~JobAcceptor()
+    {
+        for (auto &thread : m_threads)
+            thread.request_stop();
+        m_changed.notify_all();
+    }
+    JobAcceptor(const JobAcceptor &) = delete;
+    JobAcceptor &operator=(const JobAcceptor &) = delete;
+
+    /// OK: the job is stored, now or before. StoreUnavailable: it is not, and never will be by
+    /// this call. OutcomeUnknown: it may be stored, even later.
+    Status accept(const JobSpec &job, BootTime deadline)
+    {
+        auto request = std::make_shared<Request>();
+        request->job = job;
+        request->deadline = deadline;
+        {
+            const std::scoped_lock lock(m_mutex);
+            m_queue.push_back(request);
+        }
+        m_changed.notify_one();
+        std::unique_lock lock(m_mutex);
+        m_answered.wait(lock, [&] { return request->result.has_value(); });
+        return *request->result;
+    }
+
+private:
+    struct Request
+    {
+        JobSpec job;
+        BootTime deadline{};
+        bool maybeStored = false;     // a try got no answer
+        std::optional<Status> result; // guarded by m_mutex
+    };
+    using RequestPtr = std::shared_ptr<Request>;
+
+    void run(const std::stop_token &stop)
+    {
+        while (true) {
+            std::vector<RequestPtr> batch;
+            {
+                std::unique_lock lock(m_mutex);
+                m_changed.wait(lock, [&] { return stop.stop_requested() || !m_queue.empty(); });
+                if (m_queue.empty())
+                    return;
+                // One cell a transaction, since it changes one partition.
+                const std::string cell = m_queue.front()->job.service;
+                for (auto next = m_queue.begin();
+                     next != m_queue.end() && batch.size() < maxJobsPerAcceptance;) {
+                    const bool same = (*next)->job.service == cell;
+                    if (same)
+                        batch.push_back(*next);
+                    next = same ? m_queue.erase(next) : std::next(next);
+                }
+            }
+            store(std::move(batch));
+        }
+    }
+
+    void store(std::vector<RequestPtr> batch)
+    {
+        while (!batch.empty()) {
+            RowTransaction change;
+            for (const RequestPtr &request : batch) {
+                const JobSpec &job = request->job;
+                change.conditions.push_back({cells::jobKey(job.service, job.id), 0});
+                change.writes.push_back(cells::jobWrite(job.service, job));
+                change.writes.push_back(cells::stateWrite(job.service, job, JobPhase::Queued));
+            }
+            const BootTime deadline =
+                std::min(batch.front()->deadline, BootClock::now() + acceptanceTry);
+            const auto commit = m_store.commit(change, deadline);
+            if (commit.ok() && commit->committed) {
+                for (const RequestPtr &request : batch)
+                    finish(request, absl::OkStatus());
+                return;
+            }
+            if (commit.ok())
+                settleConflicts(batch, *commit);
+            else
+                settleFailure(batch, commit.status());
+        }
+    }
+
+    /// Jobs that already have a row are accepted: by an earlier try, or by another entry.
+    void settleConflicts(std::vector<RequestPtr> &batch, const RowCommit &commit)
+    {
+        std::erase_if(batch, [&](const RequestPtr &request) {
+            const RowKey key = cells::jobKey(request->job.service, request->job.id);
+            for (const Row &row : commit.current) {
+                if (row.key == key && row.version != 0) {
+                    finish(request, absl::OkStatus());
+                    return true;
+                }
+            }
+            return false;
+        });
+    }
+
+    void settleFailure(std::vector<RequestPtr> &batch, const Status &error)
+    {
+        const bool unknown = kindOf(error) != ErrorKind::StoreUnavailable;
+        const BootTime now = BootClock::now();
+        std::erase_if(batch, [&](const RequestPtr &request) {
+            request->maybeStored = request->maybeStored || unknown;
+            if (now + acceptancePause < request->deadline)
+                return false;
+            finish(request, request->maybeStored ? makeError(ErrorKind::OutcomeUnknown,
+                                                             "the store did not confirm the job")
+                                                 : error);
+            return true;
+        });
+        if (!batch.empty())
+            std::this_thread::sleep_for(acceptancePause);
+    }
+
+    void finish(const RequestPtr &request, Status result)
+    {
+        {
+            const std::scoped_lock lock(m_mutex);
+            request->result = std::move(result);
+        }
+        m_answered.notify_all();
+    }
+
+    Store &m_store;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::condition_variable m_answered;
+    std::deque<RequestPtr> m_queue;      // guarded by m_mutex
+    std::vector<std::jthread> m_threads; // last: stop first
+};
+
+} // namespace lavenderarch
--- /dev/null
+++ b/src/include/lavenderarch/runtime/job_front.h
@@ -0,0 +1,78 @@
+// What callers ask of an entry: hand a job in, ask for its state, cancel it, count what waits.
+#pragma once
+
+#include "lavenderarch/runtime/job_acceptor.h"
+#include "lavenderarch/runtime/job_states.h"
+
+namespace lavenderarch {
+
+/// Thread-safe. All state is in the store; JobStates is a copy that follows it.
+template <RowStore Store>
+class JobFront
+{
+public:
+    JobFront(Store &store, JobStates &states)
+        : m_store(store)
+        , m_states(states)
+        , m_acceptor(store)
+    {
+    }
+
+    /// See JobAcceptor::accept.
+    Status submit(const JobSpec &job, BootTime deadline)
+    {
+        if (m_states.find(job.id))
+            return absl::OkStatus();
+        return m_acceptor.accept(job, deadline);
+    }
+
+    /// NotFound when no such job was accepted; StoreUnavailable when that cannot be told now.
+    StatusOr<JobPhase> phase(const std::string &cell, const std::string &job, BootTime deadline)
+    {
+        if (const auto known = m_states.find(job))
+            return known->phase;
+        const auto row = m_store.readOne(cells::stateKey(cell, job), deadline);
+        if (!row.ok())
+            return row.status();
+        if (row->version == 0)
+            return makeError(ErrorKind::NotFound, "no job " + job);
+        m_states.apply(*row);
+        const auto known = m_states.find(job);
+        if (!known)
+            return makeError(ErrorKind::Internal, "the state of job " + job + " is unreadable");
+        return known->phase;
+    }
+
+    /// OK once the cancellation is stored. NotFound when there is no such job.
+    Status cancel(const std::string &cell, const std::string &job, BootTime deadline)
+    {
+        const auto known = phase(cell, job, deadline);
+        if (!known.ok())
+            return known.status();
+        if (isFinal(*known))
+            return absl::OkStatus();
+        const RowTransaction change{{}, {{cells::cancelKey(cell, job), "{}", false}}};
+        bool maybeStored = false;
+        while (true) {
+            const auto commit =
+                m_store.commit(change, std::min(deadline, BootClock::now() + acceptanceTry));
+            if (commit.ok())
+                return absl::OkStatus();
+            maybeStored = maybeStored || kindOf(commit.status()) != ErrorKind::StoreUnavailable;
+            if (BootClock::now() + acceptancePause >= deadline)
+                return maybeStored ? makeError(ErrorKind::OutcomeUnknown,
+                                               "the store did not confirm the cancellation")
+                                   : commit.status();
+            std::this_thread::sleep_for(acceptancePause);
+        }
+    }
+
+    std::int64_t pending(const std::string &queue) const { return m_states.pending(queue); }
+
+private:
+    Store &m_store;
+    JobStates &m_states;
+    JobAcceptor<Store> m_acceptor;
+};
+
+} // namespace lavenderarch
--- /dev/null
+++ b/src/include/lavenderarch/runtime/job_states.h
@@ -0,0 +1,40 @@
+// What an entry knows of the jobs' states, from the store's rows.
+#pragma once
+
+#include "lavenderarch/dispatch/job_state_row.h"
+#include "lavenderarch/storage/row.h"
+
+#include <map>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+namespace lavenderarch {
+
+/// Thread-safe.
+class JobStates
+{
+public:
+    /// Replaces everything by `rows`.
+    void replace(const std::vector<Row> &rows);
+    /// Takes one row; an older version than the known one is ignored.
+    void apply(const Row &row);
+
+    std::optional<JobStateRow> find(const std::string &job) const;
+    /// Accepted jobs of the queue for which no task has started.
+    std::int64_t pending(const std::string &queue) const;
+
+private:
+    struct Entry
+    {
+        JobStateRow state;
+        std::int64_t version = 0;
+    };
+    void applyLocked(const Row &row);
+
+    mutable std::mutex m_mutex;
+    std::map<std::string, Entry> m_jobs;           // guarded by m_mutex
+    std::map<std::string, std::int64_t> m_pending; // by queue; guarded by m_mutex
+};
+
+} // namespace lavenderarch
--- /dev/null
+++ b/src/include/lavenderarch/runtime/minion_control.h
@@ -0,0 +1,48 @@
+// The MinionControl concept: the calls that an agent makes to the minion beside it.
+#pragma once
+
+#include "lavenderarch/core/boot_clock.h"
+#include "lavenderarch/core/status.h"
+#include "lavenderarch/dispatch/minion_answer.h"
+#include "lavenderarch/dispatch/minion_life.h"
+#include "lavenderarch/dispatch/minion_listing.h"
+#include "lavenderarch/dispatch/run_ledger.h"
+#include "lavenderarch/dispatch/run_order.h"
+
+#include <concepts>
+
+namespace lavenderarch {
+
+/// What each call carries: the life it is meant for and the owner's epoch.
+struct ControlContext
+{
+    MinionLife life;
+    std::int64_t epoch = 0;
+
+    friend bool operator==(const ControlContext &, const ControlContext &) = default;
+};
+
+/// Thread-safe. start and stop report an answer, never an error: no answer is one of them. renew
+/// extends the lease when one is given, confirms ends up to `endsSeen`, and waits up to `waitMs`
+/// for an end.
+template <typename T>
+concept MinionControl = requires(T minion, const ControlContext &context, const RunOrder &order,
+                                 const RunKey &run, const RunLedger::Lease &lease,
+                                 const std::optional<RunLedger::Lease> &maybeLease,
+                                 std::int64_t number, int percent, BootTime deadline)
+{
+    {
+        minion.start(context, order, lease, deadline)
+        } -> std::same_as<MinionAnswer>;
+    {
+        minion.stop(context, run, deadline)
+        } -> std::same_as<MinionAnswer>;
+    {
+        minion.pace(context, run, percent, deadline)
+        } -> std::same_as<MinionAnswer>;
+    {
+        minion.renew(context, maybeLease, number, number, deadline)
+        } -> std::same_as<StatusOr<MinionListing>>;
+};
+
+} // namespace lavenderarch
--- a/src/include/lavenderarch/scheduling/cell_map.h
+++ b/src/include/lavenderarch/scheduling/cell_map.h
@@ -1,7 +1,7 @@
 // Which workers form which cell of a data centre.
 #pragma once
 
-#include "lavenderarch/platform/worker_info.h"
+#include "lavenderarch/storage/worker_info.h"
 
 #include <map>
 #include <vector>
--- a/src/include/lavenderarch/scheduling/cell_owner.h
+++ b/src/include/lavenderarch/scheduling/cell_owner.h
@@ -3,12 +3,12 @@
 
 #include "lavenderarch/config/data_centre_store.h"
 #include "lavenderarch/core/random.h"
-#include "lavenderarch/platform/worker_gateway.h"
 #include "lavenderarch/scheduling/cell_scheduler.h"
 #include "lavenderarch/scheduling/cell_store.h"
 #include "lavenderarch/scheduling/cell_surroundings.h"
 #include "lavenderarch/scheduling/inbox_item.h"
 #include "lavenderarch/scheduling/voucher_balance.h"
+#include "lavenderarch/storage/worker_gateway.h"
 
 namespace lavenderarch {
 
--- a/src/include/lavenderarch/scheduling/cell_scheduler.h
+++ b/src/include/lavenderarch/scheduling/cell_scheduler.h
@@ -1,7 +1,6 @@
 // The decisions of a cell's owner: what to place, stop, resume and end. Pure state machine.
 #pragma once
 
-#include "lavenderarch/platform/worker_report.h"
 #include "lavenderarch/scheduling/cell_conditions.h"
 #include "lavenderarch/scheduling/cell_counters.h"
 #include "lavenderarch/scheduling/cell_ledger.h"
@@ -11,6 +10,7 @@
 #include "lavenderarch/scheduling/task_watch.h"
 #include "lavenderarch/scheduling/worker_commands.h"
 #include "lavenderarch/scheduling/worker_health.h"
+#include "lavenderarch/storage/worker_report.h"
 
 #include <optional>
 
--- a/src/include/lavenderarch/scheduling/cell_store.h
+++ b/src/include/lavenderarch/scheduling/cell_store.h
@@ -1,12 +1,12 @@
 // A cell's rows in the table service and its snapshots in the object store.
 #pragma once
 
-#include "lavenderarch/platform/object_store.h"
-#include "lavenderarch/platform/parse_row.h"
-#include "lavenderarch/platform/table_service.h"
 #include "lavenderarch/scheduling/cell_head.h"
 #include "lavenderarch/scheduling/cell_keys.h"
 #include "lavenderarch/scheduling/cell_ledger.h"
+#include "lavenderarch/storage/object_store.h"
+#include "lavenderarch/storage/parse_row.h"
+#include "lavenderarch/storage/table_service.h"
 
 namespace lavenderarch {
 
--- a/src/include/lavenderarch/scheduling/cell_surroundings.h
+++ b/src/include/lavenderarch/scheduling/cell_surroundings.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "lavenderarch/config/manifest.h"
-#include "lavenderarch/platform/worker_info.h"
+#include "lavenderarch/storage/worker_info.h"
 
 #include <memory>
 #include <vector>
--- a/src/include/lavenderarch/scheduling/ledger_change.h
+++ b/src/include/lavenderarch/scheduling/ledger_change.h
@@ -1,8 +1,8 @@
 // One committed change of a cell's ledger.
 #pragma once
 
-#include "lavenderarch/platform/worker_info.h"
 #include "lavenderarch/scheduling/ledger_task.h"
+#include "lavenderarch/storage/worker_info.h"
 
 namespace lavenderarch {
 
--- a/src/include/lavenderarch/scheduling/ledger_worker.h
+++ b/src/include/lavenderarch/scheduling/ledger_worker.h
@@ -1,7 +1,7 @@
 // A worker as a cell's ledger holds it.
 #pragma once
 
-#include "lavenderarch/platform/worker_info.h"
+#include "lavenderarch/storage/worker_info.h"
 
 #include <set>
 
--- a/src/include/lavenderarch/scheduling/scheduling_policy.h
+++ b/src/include/lavenderarch/scheduling/scheduling_policy.h
@@ -1,10 +1,10 @@
 // The SchedulingPolicy concept: what varies between ways of placing and evicting.
 #pragma once
 
-#include "lavenderarch/platform/task_report.h"
 #include "lavenderarch/scheduling/eviction_ladder.h"
 #include "lavenderarch/scheduling/ledger_task.h"
 #include "lavenderarch/scheduling/worker_view.h"
+#include "lavenderarch/storage/task_report.h"
 
 #include <concepts>
 
--- a/src/include/lavenderarch/scheduling/task_watch.h
+++ b/src/include/lavenderarch/scheduling/task_watch.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "lavenderarch/core/time.h"
-#include "lavenderarch/platform/task_report.h"
+#include "lavenderarch/storage/task_report.h"
 
 namespace lavenderarch {
 
--- a/src/include/lavenderarch/scheduling/worker_commands.h
+++ b/src/include/lavenderarch/scheduling/worker_commands.h
@@ -1,7 +1,7 @@
 // Commands for one worker.
 #pragma once
 
-#include "lavenderarch/platform/worker_command.h"
+#include "lavenderarch/storage/worker_command.h"
 
 #include <vector>
 
--- a/src/include/lavenderarch/platform/commit_once.h
+++ b/src/include/lavenderarch/storage/commit_once.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "lavenderarch/core/clock.h"
-#include "lavenderarch/platform/commit_witness.h"
-#include "lavenderarch/platform/table_service.h"
+#include "lavenderarch/storage/commit_witness.h"
+#include "lavenderarch/storage/table_service.h"
 
 #include <thread>
 
--- a/src/include/lavenderarch/platform/http_object_store.h
+++ b/src/include/lavenderarch/storage/http_object_store.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "lavenderarch/core/address.h"
-#include "lavenderarch/platform/object_store.h"
+#include "lavenderarch/storage/object_store.h"
 
 namespace lavenderarch {
 
--- a/src/include/lavenderarch/platform/http_table.h
+++ b/src/include/lavenderarch/storage/http_table.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "lavenderarch/core/address.h"
-#include "lavenderarch/platform/table_service.h"
+#include "lavenderarch/storage/table_service.h"
 
 namespace lavenderarch {
 
--- a/src/include/lavenderarch/platform/http_workers.h
+++ b/src/include/lavenderarch/storage/http_workers.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "lavenderarch/core/address.h"
-#include "lavenderarch/platform/worker_gateway.h"
+#include "lavenderarch/storage/worker_gateway.h"
 
 namespace lavenderarch {
 
--- a/src/include/lavenderarch/platform/memory_object_store.h
+++ b/src/include/lavenderarch/storage/memory_object_store.h
@@ -1,7 +1,7 @@
 // Object store held in memory: the core of the stand-in and of unit tests.
 #pragma once
 
-#include "lavenderarch/platform/object_store.h"
+#include "lavenderarch/storage/object_store.h"
 
 #include <map>
 #include <mutex>
--- a/src/include/lavenderarch/platform/memory_table.h
+++ b/src/include/lavenderarch/storage/memory_table.h
@@ -1,7 +1,7 @@
 // Table service held in memory: the core of the stand-in and of unit tests.
 #pragma once
 
-#include "lavenderarch/platform/table_service.h"
+#include "lavenderarch/storage/table_service.h"
 
 #include <cstdint>
 #include <map>
--- a/src/include/lavenderarch/platform/parse_row.h
+++ b/src/include/lavenderarch/storage/parse_row.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "lavenderarch/core/json.h"
-#include "lavenderarch/platform/table_row.h"
+#include "lavenderarch/storage/table_row.h"
 
 namespace lavenderarch {
 
--- /dev/null
+++ b/src/include/lavenderarch/storage/row_store.h
@@ -0,0 +1,37 @@
+// The RowStore concept: a partitioned transactional store whose changes can be followed.
+#pragma once
+
+#include "lavenderarch/core/boot_clock.h"
+#include "lavenderarch/core/status.h"
+#include "lavenderarch/storage/row_commit.h"
+#include "lavenderarch/storage/row_range.h"
+#include "lavenderarch/storage/row_transaction.h"
+
+#include <concepts>
+
+namespace lavenderarch {
+
+/// Thread-safe access to rows.
+/// commit: StoreUnavailable when nothing was or will be applied; OutcomeUnknown when the write may
+/// be applied, even later. read: all rows of a table's partition, as of one moment per page.
+/// readOne: the row, version 0 when absent. follow: waits for changes of a table after `version`
+/// until `wait` has passed; NotFound when that history is gone, and the rows must be read again.
+template <typename T>
+concept RowStore = requires(T store, const std::string &text, const RowKey &key,
+                            const RowTransaction &change, std::int64_t version, BootTime deadline)
+{
+    {
+        store.commit(change, deadline)
+        } -> std::same_as<StatusOr<RowCommit>>;
+    {
+        store.read(text, text, deadline)
+        } -> std::same_as<StatusOr<RowRange>>;
+    {
+        store.readOne(key, deadline)
+        } -> std::same_as<StatusOr<Row>>;
+    {
+        store.follow(text, version, deadline)
+        } -> std::same_as<StatusOr<RowRange>>;
+};
+
+} // namespace lavenderarch
--- a/src/include/lavenderarch/platform/table_service.h
+++ b/src/include/lavenderarch/storage/table_service.h
@@ -3,9 +3,9 @@
 
 #include "lavenderarch/core/status.h"
 #include "lavenderarch/core/time.h"
-#include "lavenderarch/platform/commit_result.h"
-#include "lavenderarch/platform/table_row.h"
-#include "lavenderarch/platform/table_transaction.h"
+#include "lavenderarch/storage/commit_result.h"
+#include "lavenderarch/storage/table_row.h"
+#include "lavenderarch/storage/table_transaction.h"
 
 #include <concepts>
 #include <vector>
--- a/src/include/lavenderarch/platform/table_transaction.h
+++ b/src/include/lavenderarch/storage/table_transaction.h
@@ -1,8 +1,8 @@
 // Atomic, conditional change of several rows.
 #pragma once
 
-#include "lavenderarch/platform/table_condition.h"
-#include "lavenderarch/platform/table_write.h"
+#include "lavenderarch/storage/table_condition.h"
+#include "lavenderarch/storage/table_write.h"
 
 #include <vector>
 
--- a/src/include/lavenderarch/platform/worker_gateway.h
+++ b/src/include/lavenderarch/storage/worker_gateway.h
@@ -2,10 +2,10 @@
 #pragma once
 
 #include "lavenderarch/core/status.h"
-#include "lavenderarch/platform/command_result.h"
-#include "lavenderarch/platform/worker_command.h"
-#include "lavenderarch/platform/worker_info.h"
-#include "lavenderarch/platform/worker_report.h"
+#include "lavenderarch/storage/command_result.h"
+#include "lavenderarch/storage/worker_command.h"
+#include "lavenderarch/storage/worker_info.h"
+#include "lavenderarch/storage/worker_report.h"
 
 #include <concepts>
 #include <vector>
--- a/src/include/lavenderarch/platform/worker_report.h
+++ b/src/include/lavenderarch/storage/worker_report.h
@@ -1,7 +1,7 @@
 // What a worker reports about itself, with a lag.
 #pragma once
 
-#include "lavenderarch/platform/task_report.h"
+#include "lavenderarch/storage/task_report.h"
 
 #include <vector>
 
--- a/src/include/lavenderarch/telemetry/log.h
+++ b/src/include/lavenderarch/telemetry/log.h
@@ -1,4 +1,4 @@
-// Structured logging: JSON lines on standard error through log4cxx.
+// Structured logging: JSON lines through log4cxx.
 #pragma once
 
 #include "lavenderarch/core/status.h"
@@ -7,6 +7,8 @@
 #include <initializer_list>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace lavenderarch {
 
@@ -15,12 +17,20 @@
 /// Parses "debug", "info", "warning" or "error".
 StatusOr<LogLevel> parseLogLevel(std::string_view text);
 
-/// Sends log lines of `minimumLevel` and above to standard error. Call once, before other threads.
-void startLogging(std::string_view program, LogLevel minimumLevel);
+/// Where log lines go. StandardOutput is written by a thread of its own from a bounded buffer:
+/// lines that do not fit are dropped and counted, and no caller ever waits.
+enum class LogTarget { StandardError, StandardOutput };
+
+/// Sends log lines of `minimumLevel` and above to `target`. Call once, before other threads.
+void startLogging(std::string_view program, LogLevel minimumLevel,
+                  LogTarget target = LogTarget::StandardError);
 
 /// Writes one JSON line with level, component, message and fields. Thread-safe.
 void logEvent(LogLevel level, std::string_view component, std::string_view message,
               std::initializer_list<LogField> fields = {});
+/// The same for a decision whose fields are known only at run time.
+void logDecision(LogLevel level, std::string_view component, std::string_view message,
+                 const std::vector<std::pair<std::string, std::string>> &fields);
 
 /// Writes a line for `status` with its error kind.
 void logFailure(std::string_view component, std::string_view message, const Status &status,
--- a/src/lavender-standin/played_store.h
+++ b/src/lavender-standin/played_store.h
@@ -3,8 +3,8 @@
 
 #include "lavenderarch/http/http_request.h"
 #include "lavenderarch/http/http_response.h"
-#include "lavenderarch/platform/memory_object_store.h"
-#include "lavenderarch/platform/memory_table.h"
+#include "lavenderarch/storage/memory_object_store.h"
+#include "lavenderarch/storage/memory_table.h"
 
 #include <atomic>
 
--- a/src/lavender-standin/standin_settings.h
+++ b/src/lavender-standin/standin_settings.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "lavenderarch/core/json_types.h"
-#include "lavenderarch/platform/worker_info.h"
+#include "lavenderarch/storage/worker_info.h"
 
 #include <vector>
 
--- a/src/libapi/cell_manager.cpp
+++ b/src/libapi/cell_manager.cpp
@@ -3,7 +3,7 @@
 
 #include "lavenderarch/core/clock.h"
 #include "lavenderarch/core/digest.h"
-#include "lavenderarch/platform/parse_row.h"
+#include "lavenderarch/storage/parse_row.h"
 #include "lavenderarch/telemetry/log.h"
 #include "lavenderarch/telemetry/metrics.h"
 
--- a/src/libapi/job_desk.cpp
+++ b/src/libapi/job_desk.cpp
@@ -3,8 +3,8 @@
 
 #include "lavenderarch/api/operator_api.h"
 #include "lavenderarch/core/clock.h"
-#include "lavenderarch/platform/parse_row.h"
 #include "lavenderarch/scheduling/inbox_item.h"
+#include "lavenderarch/storage/parse_row.h"
 
 #include <algorithm>
 
--- /dev/null
+++ b/src/libdispatch/cell_dispatcher.cpp
@@ -0,0 +1,307 @@
+// Jobs, commits and the release of what depends on them.
+#include "lavenderarch/dispatch/cell_dispatcher.h"
+
+#include "lavenderarch/dispatch/cell_tables.h"
+#include "lavenderarch/dispatch/queue_catalog.h"
+
+#include <algorithm>
+
+namespace lavenderarch {
+namespace {
+
+/// A transaction of the store takes 100 entries; a job has two rows, and the fence needs two.
+constexpr std::size_t maxJobsPerCommit = 45;
+/// Bytes of one commit's rows: the store takes 1 MB with its encoding.
+constexpr std::size_t maxCommitBytes = 500'000;
+/// Events kept for the log between two calls; more are dropped.
+constexpr std::size_t maxEvents = 400;
+/// Ended jobs whose rows one commit deletes: three rows each.
+constexpr std::size_t maxForgotten = 10;
+
+} // namespace
+
+CellDispatcher::CellDispatcher(std::string cell, DispatchLimits limits, std::int64_t epoch)
+    : m_cell(std::move(cell))
+    , m_limits(limits)
+    , m_epoch(epoch)
+{
+}
+
+void CellDispatcher::note(std::string message,
+                          std::vector<std::pair<std::string, std::string>> fields)
+{
+    if (m_events.size() < maxEvents)
+        m_events.push_back({std::move(message), std::move(fields)});
+}
+
+std::vector<DispatchEvent> CellDispatcher::takeEvents()
+{
+    return std::exchange(m_events, {});
+}
+
+void CellDispatcher::setCatalog(std::shared_ptr<const QueueCatalog> catalog)
+{
+    m_catalog = std::move(catalog);
+    m_placementDue = true;
+}
+
+void CellDispatcher::setClosedDataCentres(std::set<std::string> dataCentres)
+{
+    m_closedDataCentres = std::move(dataCentres);
+    m_placementDue = true;
+}
+
+void CellDispatcher::load(const std::vector<Row> &jobs, const std::vector<Row> &progress,
+                          BootTime now)
+{
+    for (const Row &row : jobs) {
+        if (row.key.key.rfind(cells::cancelPrefix, 0) != 0)
+            addJob(row);
+    }
+    for (const Row &row : progress) {
+        const auto job = m_jobs.find(row.key.key);
+        if (job == m_jobs.end())
+            continue;
+        const Status loaded = job->second.loadProgress(row.value);
+        if (!loaded.ok())
+            note("progress row is unreadable",
+                 {{"job", row.key.key}, {"error", messageOf(loaded)}});
+        m_stored[row.key.key] = job->second.phase();
+    }
+    for (auto &[id, job] : m_jobs) {
+        for (auto &[number, occurrence] : job.occurrences()) {
+            for (std::size_t step = 0; step < occurrence.size(); ++step) {
+                for (std::size_t index = 0; index < occurrence[step].size(); ++index) {
+                    TaskState &task = occurrence[step][index];
+                    if (!task.active())
+                        continue;
+                    const TaskName name =
+                        job.name(number, static_cast<int>(step), static_cast<int>(index));
+                    MinionView &view = m_minions[task.agent];
+                    view.agent = task.agent;
+                    view.lastHeard = now;
+                    task.placedAt = now;
+                    task.progressAt = now;
+                    attach(view, job.spec().steps[step], {name.text(), task.run});
+                }
+            }
+        }
+        if (job.settled())
+            m_endedAt[id] = now;
+        if (isFinal(job.phase()))
+            m_open.erase({job.spec().priority, job.spec().acceptedMs, id});
+    }
+    for (const Row &row : jobs) {
+        if (row.key.key.rfind(cells::cancelPrefix, 0) == 0)
+            applyJobRow(row, now);
+    }
+    for (auto &[id, job] : m_jobs) {
+        if (isFinal(job.phase()) && job.activeRuns() > 0)
+            stopActive(job);
+    }
+}
+
+void CellDispatcher::addJob(const Row &row)
+{
+    const auto parsed = parseJson(row.value, "job row " + row.key.key);
+    auto spec = parsed.ok() ? fromJson<JobSpec>(*parsed, "job row") : parsed.status();
+    const Status valid = spec.ok() ? validateJob(*spec) : spec.status();
+    if (!valid.ok()) {
+        note("job row is unreadable", {{"job", row.key.key}, {"error", messageOf(valid)}});
+        return;
+    }
+    const auto [job, added] = m_jobs.try_emplace(row.key.key, *spec);
+    if (!added)
+        return;
+    m_open.emplace(spec->priority, spec->acceptedMs, spec->id);
+    m_placementDue = true;
+    note("job taken over from the store",
+         {{"job", spec->id}, {"queue", spec->queue}, {"rowVersion", std::to_string(row.version)}});
+}
+
+void CellDispatcher::applyJobRow(const Row &row, BootTime now)
+{
+    if (row.removed)
+        return;
+    if (row.key.key.rfind(cells::cancelPrefix, 0) == 0)
+        cancelJob(row.key.key.substr(std::string(cells::cancelPrefix).size()), now);
+    else
+        addJob(row);
+}
+
+void CellDispatcher::cancelJob(const std::string &id, BootTime now)
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end() || found->second.cancelled() || isFinal(found->second.phase()))
+        return;
+    JobModel &job = found->second;
+    job.cancel();
+    note("job cancelled", {{"job", id}, {"activeRuns", std::to_string(job.activeRuns())}});
+    markDirty(job);
+    stopActive(job);
+    if (job.settled())
+        m_endedAt[id] = now;
+}
+
+void CellDispatcher::markDirty(JobModel &job)
+{
+    job.refresh();
+    const JobSpec &spec = job.spec();
+    if (m_dirtySet.insert(spec.id).second)
+        m_dirty.push_back(spec.id);
+    if (isFinal(job.phase()))
+        m_open.erase({spec.priority, spec.acceptedMs, spec.id});
+    m_placementDue = true;
+}
+
+CellDispatcher::Location CellDispatcher::locate(const std::string &task)
+{
+    const auto name = TaskName::parse(task);
+    if (!name)
+        return {nullptr, nullptr};
+    const auto job = m_jobs.find(name->job);
+    if (job == m_jobs.end())
+        return {nullptr, nullptr};
+    return {&job->second, job->second.find(*name)};
+}
+
+std::optional<CellCommit> CellDispatcher::prepareCommit(BootTime now)
+{
+    if (m_inFlight)
+        return std::nullopt;
+    if (m_placementDue) {
+        m_placementDue = false;
+        placeWaiting(now);
+    }
+    forgetEnded(now);
+    if (m_dirty.empty() && m_forget.empty())
+        return std::nullopt;
+    CellCommit commit;
+    m_inFlight.emplace();
+    std::size_t bytes = 0;
+    std::size_t taken = 0;
+    while (taken < m_dirty.size() && taken < maxJobsPerCommit && bytes < maxCommitBytes) {
+        const std::string &id = m_dirty[taken++];
+        m_dirtySet.erase(id);
+        const auto found = m_jobs.find(id);
+        if (found == m_jobs.end())
+            continue;
+        const JobModel &job = found->second;
+        commit.writes.push_back({cells::progressKey(m_cell, id), job.progressText(), false});
+        bytes += commit.writes.back().value.size();
+        const auto stored = m_stored.find(id);
+        if (stored == m_stored.end() || stored->second != job.phase()) {
+            commit.writes.push_back(cells::stateWrite(m_cell, job.spec(), job.phase()));
+            m_stored[id] = job.phase();
+            note("job changes phase",
+                 {{"job", id}, {"phase", Json(job.phase()).get<std::string>()}});
+        }
+        if (job.settled())
+            m_endedAt.try_emplace(id, now);
+        if (const auto staged = m_staged.find(id); staged != m_staged.end()) {
+            m_inFlight->push_back(std::move(staged->second));
+            m_staged.erase(staged);
+        }
+    }
+    m_dirty.erase(m_dirty.begin(), m_dirty.begin() + static_cast<std::ptrdiff_t>(taken));
+    if (taken == 0) {
+        for (const std::string &id : m_forget) {
+            commit.writes.push_back(cells::removal(cells::jobKey(m_cell, id)));
+            commit.writes.push_back(cells::removal(cells::cancelKey(m_cell, id)));
+            commit.writes.push_back(cells::removal(cells::stateKey(m_cell, id)));
+            commit.writes.push_back(cells::removal(cells::progressKey(m_cell, id)));
+        }
+        m_forget.clear();
+    }
+    return commit;
+}
+
+void CellDispatcher::forgetEnded(BootTime now)
+{
+    for (auto ended = m_endedAt.begin();
+         ended != m_endedAt.end() && m_forget.size() < maxForgotten;) {
+        if (now - ended->second < Milliseconds(m_limits.retentionMs)) {
+            ++ended;
+            continue;
+        }
+        m_forget.push_back(ended->first);
+        m_jobs.erase(ended->first);
+        m_stored.erase(ended->first);
+        ended = m_endedAt.erase(ended);
+    }
+}
+
+void CellDispatcher::commitApplied(BootTime now)
+{
+    if (!m_inFlight)
+        return;
+    const auto released = std::move(*m_inFlight);
+    m_inFlight.reset();
+    for (const Staged &staged : released)
+        release(staged, now);
+    m_placementDue = true;
+}
+
+void CellDispatcher::release(const Staged &staged, BootTime now)
+{
+    for (const auto &[agent, number] : staged.ends) {
+        MinionView &view = m_minions[agent];
+        if (const auto end = view.ends.find(number); end != view.ends.end())
+            end->second = true;
+        advanceEnds(view);
+    }
+    for (const auto &[agent, run] : staged.absent)
+        m_minions[agent].absentSeen.push_back(run);
+    for (const auto &[agent, order] : staged.orders) {
+        const auto [job, task] = locate(order.run.task);
+        MinionView &view = m_minions[agent];
+        if (task == nullptr || task->run != order.run.number || task->agent != agent ||
+            task->life != view.facts.life)
+            continue;
+        if (task->phase == TaskPhase::Placed) {
+            task->placedAt = now;
+            task->progressAt = now;
+            send(view, order, task->startOrder);
+        } else if (task->phase == TaskPhase::Stopping) {
+            orderStop(view, order.run, task->stopOrder);
+            task->startOrder = task->stopOrder;
+        }
+    }
+}
+
+void CellDispatcher::send(MinionView &view, RunOrder order, std::int64_t &sequence)
+{
+    order.sequence = view.nextOrder++;
+    sequence = order.sequence;
+    view.outbox.push_back(std::move(order));
+}
+
+void CellDispatcher::orderStop(MinionView &view, const RunKey &run, std::int64_t &stopOrder)
+{
+    RunOrder order;
+    order.kind = OrderKind::Stop;
+    order.run = run;
+    send(view, std::move(order), stopOrder);
+}
+
+void CellDispatcher::stopActive(JobModel &job)
+{
+    for (auto &[number, occurrence] : job.occurrences()) {
+        for (std::size_t step = 0; step < occurrence.size(); ++step) {
+            for (std::size_t index = 0; index < occurrence[step].size(); ++index) {
+                TaskState &task = occurrence[step][index];
+                if (task.phase != TaskPhase::Placed)
+                    continue;
+                task.phase = TaskPhase::Stopping;
+                const RunKey run{
+                    job.name(number, static_cast<int>(step), static_cast<int>(index)).text(),
+                    task.run};
+                // A start that is not released yet turns into a stop when its commit is stored.
+                if (task.startOrder >= 0)
+                    orderStop(m_minions[task.agent], run, task.stopOrder);
+            }
+        }
+    }
+}
+
+} // namespace lavenderarch
--- /dev/null
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -0,0 +1,382 @@
+// Messages of agents: facts, ends and runs of their minions.
+#include "lavenderarch/dispatch/cell_dispatcher.h"
+
+#include "placement.h"
+
+#include <algorithm>
+
+namespace lavenderarch {
+namespace {
+
+/// A minion's clock may be slow by 2 %, and messages take time on top.
+constexpr double clockDrift = 1.02;
+constexpr Milliseconds leaseMargin{300};
+/// A run whose progress has not moved for this long stands still. Agents report every second.
+constexpr Milliseconds stalledAfter{3000};
+constexpr Milliseconds fillStalledAfter{6000};
+/// Failures of this many jobs without a success between them make a minion suspect.
+constexpr std::size_t suspectJobs = 2;
+constexpr Milliseconds failureMemory{6000};
+/// First and longest time for which a suspect minion is avoided; doubles each time.
+constexpr std::int64_t firstAvoidMs = 3000;
+constexpr std::int64_t longestAvoidMs = 12'000;
+
+bool isFresh(const MinionView &view, BootTime now)
+{
+    return now - view.lastHeard <= freshFor;
+}
+
+std::string numberText(std::int64_t number)
+{
+    return std::to_string(number);
+}
+
+} // namespace
+
+void CellDispatcher::take(const ExchangeRequest &request, BootTime now, bool mayGrant)
+{
+    MinionView &view = m_minions[request.agent];
+    view.agent = request.agent;
+    if (view.session != request.session)
+        beginSession(view, request);
+    if (request.number <= view.newestMessage)
+        return;
+    view.newestMessage = request.number;
+    if (mayGrant)
+        view.lastHeard = now;
+    const bool sameEpoch = request.epoch == m_epoch;
+    while (sameEpoch && !view.outbox.empty() && view.outbox.front().sequence <= request.orderSeen)
+        view.outbox.pop_front();
+    m_placementDue = m_placementDue || view.reachable != request.reachable;
+    view.reachable = request.reachable;
+    if (!request.registered) {
+        view.registered = false;
+        return;
+    }
+    if (!takeFacts(view, request, now))
+        return;
+    takeEnds(view, request, now);
+    if (request.listed && sameEpoch)
+        takeRuns(view, request, now);
+}
+
+ExchangeReply CellDispatcher::reply(const std::string &agent, bool mayGrant)
+{
+    MinionView &view = m_minions[agent];
+    ExchangeReply reply;
+    reply.epoch = m_epoch;
+    reply.grantMs = mayGrant ? m_limits.leaseMs : 0;
+    reply.life = view.facts.life;
+    if (!mayGrant)
+        return reply;
+    reply.endsSeen = view.endsSeen;
+    reply.absentSeen = std::exchange(view.absentSeen, {});
+    reply.orders.assign(view.outbox.begin(), view.outbox.end());
+    return reply;
+}
+
+bool CellDispatcher::hasOrders(const std::string &agent) const
+{
+    const auto view = m_minions.find(agent);
+    return view != m_minions.end() &&
+           (!view->second.outbox.empty() || !view->second.absentSeen.empty());
+}
+
+void CellDispatcher::beginSession(MinionView &view, const ExchangeRequest &request)
+{
+    note("agent begins a session", {{"agent", request.agent}, {"session", request.session}});
+    view.session = request.session;
+    view.newestMessage = 0;
+    view.nextOrder = 1;
+    view.outbox.clear();
+    view.absentSeen.clear();
+    view.ends.clear();
+    view.endsSeen = 0;
+    // Orders of the former session may or may not have been carried out: a run that the new
+    // session does not list is stopped, which settles it.
+    for (const RunKey &run : view.runs) {
+        const auto [job, task] = locate(run.task);
+        if (task != nullptr && task->startOrder > 0)
+            task->startOrder = 0;
+        if (task != nullptr)
+            task->stopOrder = 0;
+    }
+}
+
+bool CellDispatcher::takeFacts(MinionView &view, const ExchangeRequest &request, BootTime now)
+{
+    if (view.registered && request.facts.life.bornMs < view.facts.life.bornMs)
+        return false;
+    if (view.registered && view.facts.life != request.facts.life) {
+        loseRuns(view, "the minion began a new life", now);
+        view.ends.clear();
+        view.endsSeen = 0;
+        view.extra.clear();
+        view.failedJobs.clear();
+        view.avoidUntil = {};
+        view.avoidMs = 0;
+    }
+    if (!view.registered || view.facts != request.facts)
+        m_placementDue = true;
+    if (view.facts.draining != request.facts.draining)
+        note("minion changes drain state", {{"agent", view.agent},
+                                            {"minion", request.facts.life.id},
+                                            {"draining", request.facts.draining ? "yes" : "no"}});
+    view.facts = request.facts;
+    view.registered = true;
+    // Runs that a former owner placed in another life of this minion.
+    const auto runs = view.runs;
+    for (const RunKey &run : runs) {
+        const auto [job, task] = locate(run.task);
+        if (task != nullptr && task->life != view.facts.life)
+            finishRun(*job, *task, {0, run, RunOutcome::Lapsed, "", "former life"}, now);
+    }
+    return true;
+}
+
+void CellDispatcher::takeEnds(MinionView &view, const ExchangeRequest &request, BootTime now)
+{
+    for (const RunEnd &end : request.ends) {
+        if (end.number == 0) {
+            takeEnd(view, end, now);
+            continue;
+        }
+        if (end.number <= view.endsSeen || view.ends.count(end.number) != 0)
+            continue;
+        view.ends[end.number] = false;
+        takeEnd(view, end, now);
+    }
+    advanceEnds(view);
+}
+
+void CellDispatcher::takeEnd(MinionView &view, const RunEnd &end, BootTime now)
+{
+    const auto [job, task] = locate(end.run.task);
+    const bool current = task != nullptr && task->active() && task->run == end.run.number &&
+                         task->agent == view.agent && task->life == view.facts.life;
+    view.extra.erase(end.run);
+    if (!current) {
+        // Nothing depends on this end: either it is known, or the run was given up before. It may
+        // have become known just now, so that the job is still to be stored.
+        const std::string id = job == nullptr ? "" : job->spec().id;
+        if (job != nullptr && (m_inFlight || m_dirtySet.count(id) != 0)) {
+            if (end.number == 0)
+                m_staged[id].absent.emplace_back(view.agent, end.run);
+            else
+                m_staged[id].ends.emplace_back(view.agent, end.number);
+            markDirty(*job);
+        } else if (end.number == 0)
+            view.absentSeen.push_back(end.run);
+        else
+            view.ends[end.number] = true;
+        return;
+    }
+    noteOutcome(view, *job, end.outcome, now);
+    const std::string id = job->spec().id;
+    finishRun(*job, *task, end, now);
+    if (end.number == 0)
+        m_staged[id].absent.emplace_back(view.agent, end.run);
+    else
+        m_staged[id].ends.emplace_back(view.agent, end.number);
+}
+
+void CellDispatcher::advanceEnds(MinionView &view)
+{
+    while (!view.ends.empty() && view.ends.begin()->second) {
+        view.endsSeen = view.ends.begin()->first;
+        view.ends.erase(view.ends.begin());
+    }
+}
+
+void CellDispatcher::takeRuns(MinionView &view, const ExchangeRequest &request, BootTime now)
+{
+    view.extra.clear();
+    for (const RunReport &report : request.runs) {
+        const auto [job, task] = locate(report.run.task);
+        const bool known = view.runs.count(report.run) != 0;
+        if (!known) {
+            if (task != nullptr)
+                view.extra[report.run] = counted(
+                    job->spec()
+                        .steps[static_cast<std::size_t>(TaskName::parse(report.run.task)->step)]);
+            std::int64_t sequence = 0;
+            const bool asked =
+                std::any_of(view.outbox.begin(), view.outbox.end(), [&](const RunOrder &order) {
+                    return order.kind == OrderKind::Stop && order.run == report.run;
+                });
+            if (!asked) {
+                note("stop of a run that is not expected here",
+                     {{"task", report.run.task},
+                      {"run", numberText(report.run.number)},
+                      {"agent", view.agent}});
+                orderStop(view, report.run, sequence);
+            }
+            continue;
+        }
+        if (report.progressPercent != task->progressPercent || report.pacePercent < 100) {
+            task->progressPercent = report.progressPercent;
+            task->progressAt = now;
+        }
+        if (!report.checkpoint.empty())
+            task->checkpoint = report.checkpoint;
+        if (report.undescribed) {
+            const auto &step =
+                job->spec().steps[static_cast<std::size_t>(TaskName::parse(report.run.task)->step)];
+            RunOrder order;
+            order.kind = OrderKind::Describe;
+            order.run = report.run;
+            order.fills = step.fills;
+            order.tailTargetMs = step.tailTargetMs;
+            std::int64_t sequence = 0;
+            send(view, std::move(order), sequence);
+        }
+    }
+    findMissing(view, request);
+}
+
+void CellDispatcher::findMissing(MinionView &view, const ExchangeRequest &request)
+{
+    std::set<RunKey> reported;
+    for (const RunReport &report : request.runs)
+        reported.insert(report.run);
+    for (const RunEnd &end : request.ends)
+        reported.insert(end.run);
+    for (const RunKey &run : view.runs) {
+        const auto [job, task] = locate(run.task);
+        if (task == nullptr || reported.count(run) != 0 || task->startOrder < 0 ||
+            task->startOrder > request.orderSeen)
+            continue;
+        const bool stopPending = task->stopOrder > 0;
+        if (stopPending)
+            continue;
+        note("run is missing at its minion; stopping it for certainty",
+             {{"task", run.task}, {"run", numberText(run.number)}, {"agent", view.agent}});
+        task->phase = TaskPhase::Stopping;
+        orderStop(view, run, task->stopOrder);
+    }
+}
+
+void CellDispatcher::loseRuns(MinionView &view, const std::string &reason, BootTime now)
+{
+    const auto runs = view.runs;
+    for (const RunKey &run : runs) {
+        const auto [job, task] = locate(run.task);
+        if (task != nullptr)
+            finishRun(*job, *task, {0, run, RunOutcome::Lapsed, "", reason}, now);
+    }
+    view.outbox.clear();
+}
+
+void CellDispatcher::finishRun(JobModel &job, TaskState &task, const RunEnd &end, BootTime now)
+{
+    const auto name = TaskName::parse(end.run.task);
+    const StepSpec &step = job.spec().steps[static_cast<std::size_t>(name->step)];
+    const auto view = m_minions.find(task.agent);
+    if (view != m_minions.end())
+        detach(view->second, step, end.run);
+    note("run ended", {{"task", end.run.task},
+                       {"run", numberText(end.run.number)},
+                       {"outcome", Json(end.outcome).get<std::string>()},
+                       {"agent", task.agent},
+                       {"reason", end.reason},
+                       {"ranMs", numberText((now - task.placedAt).count())}});
+    if (!end.checkpoint.empty())
+        task.checkpoint = end.checkpoint;
+    task.phase = TaskPhase::Waiting;
+    if (end.outcome == RunOutcome::Done) {
+        task.phase = step.longRunning ? TaskPhase::Waiting : TaskPhase::Done;
+    } else if (end.outcome == RunOutcome::Failed) {
+        task.failedAgent = task.agent;
+        task.failures += step.longRunning ? 0 : 1;
+    }
+    task.agent.clear();
+    task.life = {};
+    if (end.outcome == RunOutcome::Done && step.gang) {
+        // One end represents the whole gang; the other members are listed as done as well.
+        for (TaskState &member :
+             job.occurrences().at(name->occurrence)[static_cast<std::size_t>(name->step)]) {
+            if (member.phase == TaskPhase::Waiting)
+                member.phase = TaskPhase::Done;
+        }
+    }
+    const bool exhausted =
+        !step.longRunning && task.phase != TaskPhase::Done && task.failures >= job.spec().attempts;
+    if (exhausted && !isFinal(job.phase())) {
+        job.setPhase(JobPhase::Failed);
+        note("job failed: a task used all its attempts",
+             {{"job", job.spec().id}, {"task", end.run.task}});
+    }
+    markDirty(job);
+    if (isFinal(job.phase()))
+        stopActive(job);
+}
+
+void CellDispatcher::noteOutcome(MinionView &view, const JobModel &job, RunOutcome outcome,
+                                 BootTime now)
+{
+    if (outcome == RunOutcome::Done && !view.failedJobs.empty())
+        view.failedJobs.erase(view.failedJobs.begin());
+    if (outcome == RunOutcome::Done)
+        view.avoidMs = 0;
+    if (outcome != RunOutcome::Failed)
+        return;
+    view.failedJobs[job.spec().id] = now;
+    if (view.failedJobs.size() < suspectJobs || view.avoidUntil > now)
+        return;
+    view.avoidMs = std::clamp(view.avoidMs * 2, firstAvoidMs, longestAvoidMs);
+    view.avoidUntil = now + Milliseconds(view.avoidMs);
+    note("minion is avoided: tasks of several jobs failed there",
+         {{"agent", view.agent},
+          {"jobs", numberText(static_cast<std::int64_t>(view.failedJobs.size()))},
+          {"forMs", numberText(view.avoidMs)}});
+}
+
+void CellDispatcher::tick(BootTime now, std::int64_t timeOfDayMs)
+{
+    const auto lease =
+        Milliseconds(static_cast<std::int64_t>(static_cast<double>(m_limits.leaseMs) * clockDrift));
+    for (auto &[agent, view] : m_minions) {
+        if (!view.runs.empty() && now - view.lastHeard > lease + leaseMargin) {
+            note("lease of a silent minion has lapsed",
+                 {{"agent", agent}, {"silentMs", numberText((now - view.lastHeard).count())}});
+            loseRuns(view, "the lease lapsed", now);
+            view.registered = false;
+        }
+        std::erase_if(view.failedJobs,
+                      [&](const auto &entry) { return now - entry.second > failureMemory; });
+        if (isFresh(view, now))
+            findStalled(view, now);
+    }
+    for (auto &[id, job] : m_jobs) {
+        if (job.spec().occurrences > 0 && !isFinal(job.phase()) &&
+            job.addDueOccurrences(timeOfDayMs))
+            markDirty(job);
+    }
+    m_placementDue = true;
+}
+
+void CellDispatcher::findStalled(MinionView &view, BootTime now)
+{
+    for (const RunKey &run : view.runs) {
+        const auto [job, task] = locate(run.task);
+        if (task == nullptr || task->phase != TaskPhase::Placed || task->startOrder < 0)
+            continue;
+        const auto &step =
+            job->spec().steps[static_cast<std::size_t>(TaskName::parse(run.task)->step)];
+        const auto limit = step.fills ? fillStalledAfter : stalledAfter;
+        if (step.longRunning || step.gang || now - task->progressAt < limit)
+            continue;
+        note("run stands still; stopping it",
+             {{"task", run.task},
+              {"run", numberText(run.number)},
+              {"agent", view.agent},
+              {"percent", numberText(task->progressPercent)},
+              {"stillMs", numberText((now - task->progressAt).count())}});
+        task->phase = TaskPhase::Stopping;
+        task->failedAgent = view.agent;
+        view.avoidUntil = std::max(view.avoidUntil, now + Milliseconds(firstAvoidMs));
+        orderStop(view, run, task->stopOrder);
+    }
+}
+
+} // namespace lavenderarch
--- /dev/null
+++ b/src/libdispatch/cell_dispatcher_placement.cpp
@@ -0,0 +1,191 @@
+// Placement of waiting tasks.
+#include "lavenderarch/dispatch/cell_dispatcher.h"
+
+#include "lavenderarch/dispatch/queue_catalog.h"
+#include "placement.h"
+
+namespace lavenderarch {
+namespace {
+
+/// Tasks placed in one pass: bounds the processor time of a commit.
+constexpr int maxPlacementsPerPass = 120;
+/// Jobs in a row for which no minion was found, after which a pass ends.
+constexpr int maxRefusedJobs = 24;
+/// Marks a start that waits for its commit.
+constexpr std::int64_t unreleased = -1;
+
+std::map<std::string, int> minionsOf(const std::vector<TaskState> &tasks)
+{
+    std::map<std::string, int> counts;
+    for (const TaskState &task : tasks) {
+        if (task.active())
+            ++counts[task.agent];
+    }
+    return counts;
+}
+
+} // namespace
+
+void CellDispatcher::attach(MinionView &view, const StepSpec &step, const RunKey &run)
+{
+    if (!view.runs.insert(run).second)
+        return;
+    view.used = view.used + counted(step);
+    view.fillCores += step.fills ? step.demand.milliCores() : 0;
+    view.serving += step.tailTargetMs > 0 ? 1 : 0;
+}
+
+void CellDispatcher::detach(MinionView &view, const StepSpec &step, const RunKey &run)
+{
+    if (view.runs.erase(run) == 0)
+        return;
+    view.used = view.used - counted(step);
+    view.fillCores -= step.fills ? step.demand.milliCores() : 0;
+    view.serving -= step.tailTargetMs > 0 ? 1 : 0;
+}
+
+void CellDispatcher::placeWaiting(BootTime now)
+{
+    if (m_catalog == nullptr)
+        return;
+    int budget = maxPlacementsPerPass;
+    int refused = 0;
+    for (const auto &[priority, accepted, id] : m_open) {
+        const auto found = m_jobs.find(id);
+        if (found == m_jobs.end() || !m_catalog->serves(found->second.spec().service))
+            continue;
+        JobModel &job = found->second;
+        int placed = 0;
+        bool waits = false;
+        for (auto &[number, occurrence] : job.occurrences()) {
+            for (std::size_t step = 0; step < occurrence.size(); ++step) {
+                if (!job.isReady(occurrence, step))
+                    continue;
+                const int count = placeStep(job, number, step, now, budget - placed);
+                waits = waits || count < 0;
+                placed += std::max(count, 0);
+            }
+        }
+        if (placed > 0)
+            markDirty(job);
+        budget -= placed;
+        refused = waits && placed == 0 ? refused + 1 : 0;
+        if (budget <= 0 || refused >= maxRefusedJobs) {
+            m_placementDue = budget <= 0;
+            return;
+        }
+    }
+    m_placementDue = false;
+}
+
+int CellDispatcher::placeStep(JobModel &job, int occurrence, std::size_t step, BootTime now,
+                              int budget)
+{
+    if (job.spec().steps[step].gang)
+        return placeGang(job, occurrence, step, now);
+    int placed = 0;
+    auto &tasks = job.occurrences().at(occurrence)[step];
+    for (std::size_t index = 0; index < tasks.size() && placed < budget; ++index) {
+        if (tasks[index].phase != TaskPhase::Waiting)
+            continue;
+        MinionView *view = choose(job, occurrence, step, tasks[index], now);
+        if (view == nullptr)
+            return placed > 0 ? placed : -1;
+        place(job, job.name(occurrence, static_cast<int>(step), static_cast<int>(index)), *view,
+              now);
+        ++placed;
+    }
+    return placed;
+}
+
+int CellDispatcher::placeGang(JobModel &job, int occurrence, std::size_t step, BootTime now)
+{
+    auto &tasks = job.occurrences().at(occurrence)[step];
+    int run = 0;
+    int waiting = 0;
+    std::string checkpoint;
+    for (const TaskState &task : tasks) {
+        if (task.active())
+            return 0; // members of the former run have to end first
+        waiting += task.phase == TaskPhase::Waiting ? 1 : 0;
+        run = std::max(run, task.run);
+        checkpoint = task.checkpoint.empty() ? checkpoint : task.checkpoint;
+    }
+    if (waiting == 0)
+        return 0;
+    std::vector<std::pair<TaskName, MinionView *>> members;
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        MinionView *view = choose(job, occurrence, step, tasks[index], now);
+        const TaskName name = job.name(occurrence, static_cast<int>(step), static_cast<int>(index));
+        if (view == nullptr)
+            break;
+        tasks[index].run = run;
+        tasks[index].checkpoint = checkpoint;
+        attach(*view, job.spec().steps[step], {name.text(), run + 1});
+        tasks[index].phase = TaskPhase::Placed;
+        tasks[index].agent = view->agent;
+        members.emplace_back(name, view);
+    }
+    const bool complete = members.size() == tasks.size();
+    for (const auto &[name, view] : members) {
+        TaskState &task = tasks[static_cast<std::size_t>(name.index)];
+        task.phase = TaskPhase::Waiting;
+        task.agent.clear();
+        detach(*view, job.spec().steps[step], {name.text(), run + 1});
+        if (complete)
+            place(job, name, *view, now);
+    }
+    return complete ? static_cast<int>(members.size()) : -1;
+}
+
+MinionView *CellDispatcher::choose(const JobModel &job, int occurrence, std::size_t step,
+                                   const TaskState &task, BootTime now)
+{
+    const auto sameStep = minionsOf(job.occurrences().at(occurrence)[step]);
+    const PlacementRequest request{&job.spec(), &job.spec().steps[step], &task, &sameStep,
+                                   &m_closedDataCentres};
+    MinionView *best = nullptr;
+    double bestScore = 0;
+    for (auto &[agent, view] : m_minions) {
+        if (!isEligible(view, request, now))
+            continue;
+        const double score = placementScore(view, request, now);
+        if (best == nullptr || score > bestScore) {
+            best = &view;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+void CellDispatcher::place(JobModel &job, const TaskName &name, MinionView &view, BootTime now)
+{
+    TaskState &task = *job.find(name);
+    const StepSpec &step = job.spec().steps[static_cast<std::size_t>(name.step)];
+    task.phase = TaskPhase::Placed;
+    ++task.run;
+    task.agent = view.agent;
+    task.life = view.facts.life;
+    task.startOrder = unreleased;
+    task.stopOrder = 0;
+    task.progressPercent = 0;
+    task.placedAt = now;
+    task.progressAt = now;
+    RunOrder order;
+    order.kind = OrderKind::Start;
+    order.run = {name.text(), task.run};
+    order.payload = job.spec().payload;
+    order.checkpoint = task.checkpoint;
+    order.fills = step.fills;
+    order.tailTargetMs = step.tailTargetMs;
+    attach(view, step, order.run);
+    note("run placed", {{"task", order.run.task},
+                        {"run", std::to_string(task.run)},
+                        {"agent", view.agent},
+                        {"minion", task.life.id},
+                        {"heardMsAgo", std::to_string((now - view.lastHeard).count())},
+                        {"catalogVersion", std::to_string(m_catalog->version)}});
+    m_staged[job.spec().id].orders.emplace_back(view.agent, std::move(order));
+}
+
+} // namespace lavenderarch
--- /dev/null
+++ b/src/libdispatch/job_model.cpp
@@ -0,0 +1,170 @@
+// State of one job and its stored form.
+#include "lavenderarch/dispatch/job_model.h"
+
+#include <algorithm>
+
+namespace lavenderarch {
+namespace {
+
+Json storedTask(const TaskState &task)
+{
+    if (task.phase == TaskPhase::Done)
+        return 1;
+    if (task.run == 0)
+        return 0;
+    Json fields = Json::array({task.active() ? 1 : 0, task.run, task.failures, task.checkpoint});
+    if (task.active()) {
+        fields.push_back(task.agent);
+        fields.push_back(task.life.id);
+        fields.push_back(task.life.bornMs);
+    }
+    return fields;
+}
+
+TaskState loadTask(const Json &stored)
+{
+    TaskState task;
+    if (stored.is_number()) {
+        task.phase = stored.get<int>() == 1 ? TaskPhase::Done : TaskPhase::Waiting;
+        return task;
+    }
+    task.phase = stored.at(0).get<int>() == 1 ? TaskPhase::Placed : TaskPhase::Waiting;
+    task.run = stored.at(1).get<int>();
+    task.failures = stored.at(2).get<int>();
+    task.checkpoint = stored.at(3).get<std::string>();
+    if (task.active()) {
+        task.agent = stored.at(4).get<std::string>();
+        task.life = {stored.at(5).get<std::string>(), stored.at(6).get<std::int64_t>()};
+    }
+    return task;
+}
+
+JobModel::Occurrence emptyOccurrence(const JobSpec &spec)
+{
+    JobModel::Occurrence occurrence;
+    for (const StepSpec &step : spec.steps)
+        occurrence.emplace_back(static_cast<std::size_t>(step.count));
+    return occurrence;
+}
+
+bool allDone(const std::vector<TaskState> &tasks)
+{
+    return std::all_of(tasks.begin(), tasks.end(),
+                       [](const TaskState &task) { return task.phase == TaskPhase::Done; });
+}
+
+} // namespace
+
+JobModel::JobModel(JobSpec spec)
+    : m_spec(std::move(spec))
+{
+    if (m_spec.occurrences == 0)
+        m_occurrences.emplace(0, emptyOccurrence(m_spec));
+}
+
+bool JobModel::addDueOccurrences(std::int64_t timeOfDayMs)
+{
+    bool added = false;
+    for (int number = 0; number < m_spec.occurrences; ++number) {
+        const std::int64_t due = m_spec.firstDueMs + number * m_spec.intervalMs;
+        if (due > timeOfDayMs)
+            break;
+        added = m_occurrences.try_emplace(number, emptyOccurrence(m_spec)).second || added;
+    }
+    return added;
+}
+
+TaskState *JobModel::find(const TaskName &name)
+{
+    const auto occurrence = m_occurrences.find(name.occurrence);
+    if (occurrence == m_occurrences.end() || name.step < 0 || name.index < 0)
+        return nullptr;
+    const auto step = static_cast<std::size_t>(name.step);
+    const auto index = static_cast<std::size_t>(name.index);
+    if (step >= occurrence->second.size() || index >= occurrence->second[step].size())
+        return nullptr;
+    return &occurrence->second[step][index];
+}
+
+TaskName JobModel::name(int occurrence, int step, int index) const
+{
+    return {m_spec.id, occurrence, step, index};
+}
+
+bool JobModel::isReady(const Occurrence &occurrence, std::size_t step) const
+{
+    const auto &after = m_spec.steps[step].after;
+    return std::all_of(after.begin(), after.end(), [&](int before) {
+        return allDone(occurrence[static_cast<std::size_t>(before)]);
+    });
+}
+
+void JobModel::refresh()
+{
+    m_active = 0;
+    bool started = false;
+    bool done = static_cast<int>(m_occurrences.size()) >= std::max(m_spec.occurrences, 1);
+    for (const auto &[number, occurrence] : m_occurrences) {
+        for (const auto &tasks : occurrence) {
+            for (const TaskState &task : tasks) {
+                m_active += task.active() ? 1 : 0;
+                started = started || task.run > 0 || task.phase == TaskPhase::Done;
+                done = done && task.phase == TaskPhase::Done;
+            }
+        }
+    }
+    if (isFinal(m_phase))
+        return;
+    if (done)
+        m_phase = JobPhase::Done;
+    else if (m_cancelled)
+        m_phase = JobPhase::Cancelled;
+    else if (started)
+        m_phase = JobPhase::Running;
+}
+
+std::string JobModel::progressText() const
+{
+    Json stored{{"phase", m_phase}};
+    if (!settled()) {
+        Json &occurrences = stored["tasks"] = Json::object();
+        for (const auto &[number, occurrence] : m_occurrences) {
+            Json steps = Json::array();
+            for (const auto &tasks : occurrence) {
+                Json list = Json::array();
+                for (const TaskState &task : tasks)
+                    list.push_back(storedTask(task));
+                steps.push_back(std::move(list));
+            }
+            occurrences[std::to_string(number)] = std::move(steps);
+        }
+    }
+    return stored.dump();
+}
+
+Status JobModel::loadProgress(const std::string &text)
+{
+    const auto stored = parseJson(text, "progress of job " + m_spec.id);
+    if (!stored.ok())
+        return stored.status();
+    try {
+        m_phase = stored->at("phase").get<JobPhase>();
+        m_cancelled = m_phase == JobPhase::Cancelled;
+        if (!stored->contains("tasks"))
+            return absl::OkStatus();
+        for (const auto &[number, steps] : stored->at("tasks").items()) {
+            Occurrence occurrence = emptyOccurrence(m_spec);
+            for (std::size_t step = 0; step < occurrence.size(); ++step) {
+                for (std::size_t index = 0; index < occurrence[step].size(); ++index)
+                    occurrence[step][index] = loadTask(steps.at(step).at(index));
+            }
+            m_occurrences[std::stoi(number)] = std::move(occurrence);
+        }
+    } catch (const std::exception &error) {
+        return makeError(ErrorKind::Internal, "progress of job " + m_spec.id + ": " + error.what());
+    }
+    refresh();
+    return absl::OkStatus();
+}
+
+} // namespace lavenderarch
--- /dev/null
+++ b/src/libdispatch/ownership_watch.cpp
@@ -0,0 +1,39 @@
+// Takeover of a cell whose owner row stands still.
+#include "lavenderarch/dispatch/ownership_watch.h"
+
+#include <algorithm>
+
+namespace lavenderarch {
+namespace {
+
+/// A process whose fastest read takes longer is in another region than the store; it leaves the
+/// cell to nearer ones for some time.
+constexpr Milliseconds nearStore{16};
+constexpr Milliseconds farDelay{800};
+/// Reads that must have shown the same version.
+constexpr int leastReads = 3;
+
+} // namespace
+
+bool OwnershipWatch::observe(const OwnerRecord &record, std::int64_t version, BootTime sentAt,
+                             BootTime now)
+{
+    m_fastestRead = std::min(m_fastestRead, now - sentAt);
+    if (version != m_version) {
+        m_version = version;
+        m_since = now;
+        m_reads = 0;
+    }
+    ++m_reads;
+    const Milliseconds delay = m_fastestRead > nearStore ? farDelay : Milliseconds(0);
+    if (version == 0 || record.released)
+        return now - m_since >= delay;
+    return m_reads >= leastReads && sentAt - m_since >= takeOverAfter + delay;
+}
+
+void OwnershipWatch::readFailed()
+{
+    m_version = -1;
+}
+
+} // namespace lavenderarch
--- /dev/null
+++ b/src/libdispatch/pace_controller.cpp
@@ -0,0 +1,51 @@
+// Additive increase, multiplicative decrease of the pace of filling tasks.
+#include "lavenderarch/dispatch/pace_controller.h"
+
+#include <algorithm>
+
+namespace lavenderarch {
+namespace {
+
+/// Shares of the tail target: above the first fills slow down, below the second they speed up.
+constexpr double slowDownAbove = 0.85;
+constexpr double speedUpBelow = 0.65;
+/// Steps of the pace, in percent; below the least step a fill stands still.
+constexpr int speedUpStep = 10;
+constexpr int leastPace = 10;
+
+double worstTailShare(const std::map<RunKey, RunLedger::LocalRun> &runs)
+{
+    double worst = 0;
+    for (const auto &[run, local] : runs) {
+        if (local.tailTargetMs > 0 && local.listed)
+            worst = std::max(worst, local.load / static_cast<double>(local.tailTargetMs));
+    }
+    return worst;
+}
+
+int nextPace(int pace, double tailShare)
+{
+    if (tailShare > slowDownAbove) {
+        const int slower = tailShare > 1 ? pace / 4 : pace / 2;
+        return slower < leastPace ? 0 : slower;
+    }
+    return tailShare < speedUpBelow ? std::min(100, pace + speedUpStep) : pace;
+}
+
+} // namespace
+
+std::vector<PaceChange> decidePaces(const std::map<RunKey, RunLedger::LocalRun> &runs)
+{
+    const double tailShare = worstTailShare(runs);
+    std::vector<PaceChange> changes;
+    for (const auto &[run, local] : runs) {
+        if (!local.fills || !local.listed)
+            continue;
+        const int pace = nextPace(local.pacePercent, tailShare);
+        if (pace != local.pacePercent)
+            changes.push_back({run, pace});
+    }
+    return changes;
+}
+
+} // namespace lavenderarch
--- /dev/null
+++ b/src/libdispatch/placement.h
@@ -0,0 +1,35 @@
+// Which minion a task goes to.
+#pragma once
+
+#include "lavenderarch/dispatch/job_spec.h"
+#include "lavenderarch/dispatch/minion_view.h"
+#include "lavenderarch/dispatch/task_state.h"
+
+#include <optional>
+
+namespace lavenderarch {
+
+/// A minion that has not been heard of for this long gets no new run. Agents poll every second.
+inline constexpr Milliseconds freshFor{1800};
+
+/// What a step needs that does not depend on the minion.
+struct PlacementRequest
+{
+    const JobSpec *job = nullptr;
+    const StepSpec *step = nullptr;
+    const TaskState *task = nullptr;
+    /// Tasks of the step and occurrence that a minion already has, by agent.
+    const std::map<std::string, int> *sameStep = nullptr;
+    const std::set<std::string> *closedDataCentres = nullptr;
+};
+
+/// What `step` takes of a minion's capacity: filling tasks use only processors left over.
+Resources counted(const StepSpec &step);
+
+/// True when the minion may be given the task now.
+bool isEligible(const MinionView &view, const PlacementRequest &request, BootTime now);
+
+/// Higher is better; only for eligible minions.
+double placementScore(const MinionView &view, const PlacementRequest &request, BootTime now);
+
+} // namespace lavenderarch
--- /dev/null
+++ b/src/libdispatch/run_ledger.cpp
@@ -0,0 +1,242 @@
+// Bookkeeping of one minion's runs.
+#include "lavenderarch/dispatch/run_ledger.h"
+
+#include <set>
+
+namespace lavenderarch {
+namespace {
+
+/// A minion's clock may be slow by 2 %; in per cent of the lease.
+constexpr std::int64_t driftPercent = 2;
+constexpr Milliseconds lapseMargin{200};
+
+} // namespace
+
+RunLedger::RunLedger(std::string agent, std::string session)
+    : m_agent(std::move(agent))
+    , m_session(std::move(session))
+{
+}
+
+void RunLedger::clearLife()
+{
+    m_runs.clear();
+    m_ends.clear();
+    m_absent.clear();
+    m_endsSeen = 0;
+    m_clockMs = 0;
+    m_sentLease = {};
+    m_listedEpoch = -1;
+    m_reachable = false;
+}
+
+bool RunLedger::takeFacts(const MinionFacts &facts, std::int64_t sequence)
+{
+    const bool sameLife = m_facts.life == facts.life;
+    if (m_registered && facts.life.bornMs < m_facts.life.bornMs)
+        return false;
+    if (m_registered && sameLife && sequence <= m_factsSequence)
+        return false;
+    if (!sameLife) {
+        clearLife();
+        m_news = true;
+    }
+    m_news = m_news || !m_registered || facts.draining != m_facts.draining;
+    m_facts = facts;
+    m_factsSequence = sequence;
+    m_registered = true;
+    return true;
+}
+
+void RunLedger::minionLeft(const std::string &id)
+{
+    if (id != m_facts.life.id)
+        return;
+    for (const auto &[run, local] : m_runs)
+        addAbsent(run, "the minion left");
+    m_runs.clear();
+    m_facts.draining = true;
+    m_news = true;
+}
+
+void RunLedger::addAbsent(const RunKey &run, const std::string &reason)
+{
+    m_absent[run] = {0, run, RunOutcome::Absent, "", reason};
+    m_news = true;
+}
+
+std::vector<RunOrder> RunLedger::takeReply(const ExchangeReply &reply, BootTime sentAt,
+                                           BootTime now)
+{
+    std::vector<RunOrder> accepted;
+    if (reply.epoch < m_epoch)
+        return accepted;
+    if (reply.epoch > m_epoch) {
+        m_epoch = reply.epoch;
+        m_orderSeen = 0;
+        m_listedEpoch = -1;
+    }
+    if (reply.grantMs > 0)
+        m_grantUntil = std::max(m_grantUntil, sentAt + Milliseconds(reply.grantMs));
+    const bool sameLife = reply.life == m_facts.life;
+    if (sameLife && reply.endsSeen > m_endsSeen && m_ends.count(reply.endsSeen) != 0)
+        m_endsSeen = reply.endsSeen;
+    m_ends.erase(m_ends.begin(), m_ends.upper_bound(m_endsSeen));
+    for (const RunKey &run : reply.absentSeen)
+        m_absent.erase(run);
+    for (const RunOrder &order : reply.orders) {
+        if (order.sequence <= m_orderSeen)
+            continue;
+        m_orderSeen = order.sequence;
+        if (!sameLife)
+            continue;
+        if (order.kind == OrderKind::Start) {
+            if (!m_registered || m_facts.draining || now >= m_grantUntil) {
+                addAbsent(order.run, m_facts.draining ? "the minion drains" : "no lease");
+                continue;
+            }
+            LocalRun run;
+            run.since = now;
+            run.fills = order.fills;
+            run.tailTargetMs = order.tailTargetMs;
+            m_runs.insert_or_assign(order.run, run);
+        } else if (order.kind == OrderKind::Stop) {
+            m_runs.try_emplace(order.run).first->second.stopWanted = true;
+        } else if (const auto run = m_runs.find(order.run); run != m_runs.end()) {
+            run->second.described = true;
+            run->second.fills = order.fills;
+            run->second.tailTargetMs = order.tailTargetMs;
+        }
+        if (order.kind != OrderKind::Describe)
+            accepted.push_back(order);
+    }
+    return accepted;
+}
+
+void RunLedger::takeListing(const MinionListing &listing, std::int64_t epoch, BootTime sentAt,
+                            BootTime now)
+{
+    if (listing.bornMs != 0 && listing.bornMs != m_facts.life.bornMs)
+        return;
+    m_reachable = true;
+    m_clockMs = listing.clockMs;
+    m_clockAt = now;
+    m_listedEpoch = epoch;
+    std::set<RunKey> present;
+    for (const auto &active : listing.active) {
+        present.insert(active.run);
+        const auto [entry, added] = m_runs.try_emplace(active.run);
+        LocalRun &run = entry->second;
+        run.described = run.described && !added;
+        run.phase = Phase::Held;
+        run.listed = true;
+        run.progressPercent = active.progressPercent;
+        run.checkpoint = active.checkpoint;
+        run.load = active.load;
+    }
+    for (const RunEnd &end : listing.ends) {
+        m_runs.erase(end.run);
+        if (end.number > m_endsSeen)
+            m_news = m_ends.emplace(end.number, end).second || m_news;
+    }
+    for (auto entry = m_runs.begin(); entry != m_runs.end();) {
+        LocalRun &run = entry->second;
+        const bool stopped = run.stopConfirmed && *run.stopConfirmed <= sentAt;
+        const bool missing = run.phase == Phase::Held && run.since <= sentAt && !run.stopWanted;
+        if (present.count(entry->first) != 0 || (!stopped && !missing)) {
+            ++entry;
+            continue;
+        }
+        if (stopped)
+            addAbsent(entry->first, "a stop was confirmed before it ran");
+        m_news = true;
+        entry = m_runs.erase(entry);
+    }
+}
+
+void RunLedger::renewalSent(const Lease &lease)
+{
+    m_sentLease = lease;
+}
+
+void RunLedger::renewalFailed(BootTime now)
+{
+    m_reachable = false;
+    const auto drift = (m_sentLease.until - m_clockAt) * driftPercent / 100;
+    if (m_runs.empty() || now <= m_sentLease.until + drift + lapseMargin)
+        return;
+    for (const auto &[run, local] : m_runs)
+        addAbsent(run, "the minion is silent and its lease has lapsed");
+    m_runs.clear();
+}
+
+void RunLedger::startConfirmed(const RunKey &run, BootTime now)
+{
+    const auto found = m_runs.find(run);
+    if (found == m_runs.end() || found->second.phase == Phase::Held)
+        return;
+    found->second.phase = Phase::Held;
+    found->second.since = now;
+}
+
+void RunLedger::startRefused(const RunKey &run, const std::string &reason)
+{
+    const auto found = m_runs.find(run);
+    if (found == m_runs.end() || found->second.phase == Phase::Held)
+        return;
+    m_runs.erase(found);
+    addAbsent(run, reason);
+}
+
+void RunLedger::stopConfirmed(const RunKey &run, BootTime now)
+{
+    if (const auto found = m_runs.find(run); found != m_runs.end())
+        found->second.stopConfirmed = now;
+}
+
+void RunLedger::setPace(const RunKey &run, int percent)
+{
+    if (const auto found = m_runs.find(run); found != m_runs.end())
+        found->second.pacePercent = percent;
+}
+
+std::optional<RunLedger::Lease> RunLedger::lease(BootTime now) const
+{
+    if (now >= m_grantUntil || m_clockMs == 0)
+        return std::nullopt;
+    if (!m_reachable && m_sentLease.untilMinionMs > 0)
+        return m_sentLease;
+    return Lease{m_grantUntil, m_clockMs + (m_grantUntil - m_clockAt).count()};
+}
+
+bool RunLedger::isWanted(const RunKey &run) const
+{
+    const auto found = m_runs.find(run);
+    return found != m_runs.end() && !found->second.stopWanted;
+}
+
+ExchangeRequest RunLedger::snapshot(std::int64_t waitMs)
+{
+    ExchangeRequest request;
+    request.agent = m_agent;
+    request.session = m_session;
+    request.number = m_nextMessage++;
+    request.epoch = m_epoch;
+    request.registered = m_registered;
+    request.listed = m_listedEpoch == m_epoch;
+    request.reachable = m_reachable;
+    request.facts = m_facts;
+    for (const auto &[run, local] : m_runs)
+        request.runs.push_back({run, local.progressPercent, local.pacePercent, local.checkpoint,
+                                local.phase == Phase::Starting, !local.described});
+    for (const auto &[number, end] : m_ends)
+        request.ends.push_back(end);
+    for (const auto &[run, end] : m_absent)
+        request.ends.push_back(end);
+    request.orderSeen = m_orderSeen;
+    request.waitMs = waitMs;
+    m_news = false;
+    return request;
+}
+
+} // namespace lavenderarch
--- a/src/libhttp/http_client.cpp
+++ b/src/libhttp/http_client.cpp
@@ -2,19 +2,27 @@
 // whole response; an idle connection is dropped well before the peer's keep-alive timeout.
 #include "lavenderarch/http/http_client.h"
 
+#include "lavenderarch/core/boot_clock.h"
 #include "lavenderarch/core/clock.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <array>
+#include <cerrno>
 #include <civetweb.h>
 #include <map>
 #include <mutex>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <vector>
 
 namespace lavenderarch {
 namespace {
 
-constexpr Milliseconds maxIdleTime{1000};
+/// Longest wait for a connection to open; a peer in the other region is 12 ms away.
+constexpr Milliseconds connectTimeout{400};
 constexpr std::size_t maxIdlePerAddress = 128;
 constexpr std::size_t readChunkBytes = std::size_t{16} * 1024;
 constexpr std::size_t errorTextBytes = 256;
@@ -28,7 +36,7 @@
 struct IdleConnection
 {
     ConnectionPtr connection;
-    TimePoint expires;
+    BootTime expires;
 };
 
 std::string headText(const Address &address, const HttpRequest &request)
@@ -43,12 +51,35 @@
     return text;
 }
 
-int remainingMs(TimePoint deadline)
+int remainingMs(BootTime deadline)
 {
-    const auto left = (deadline - SystemClock().now()).count();
+    const auto left = (deadline - BootClock::now()).count();
     return static_cast<int>(std::clamp<std::int64_t>(left, 1, 60'000));
 }
 
+/// Opens and closes a connection: the library's own connect waits ten seconds for a dead peer.
+bool accepts(const Address &address, Milliseconds timeout)
+{
+    sockaddr_in target{};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(address.port());
+    if (inet_pton(AF_INET, address.host().c_str(), &target.sin_addr) != 1)
+        return true; // left to the library, which reports what is wrong
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (socket < 0)
+        return false;
+    bool open = ::connect(socket, reinterpret_cast<sockaddr *>(&target), sizeof target) == 0;
+    if (!open && errno == EINPROGRESS) {
+        pollfd waiter{socket, POLLOUT, 0};
+        int error = 0;
+        socklen_t size = sizeof error;
+        open = ::poll(&waiter, 1, static_cast<int>(timeout.count())) == 1 &&
+               ::getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0;
+    }
+    ::close(socket);
+    return open;
+}
+
 StatusOr<std::string> readResponseBody(mg_connection *connection, long long announced)
 {
     std::string body;
@@ -75,12 +106,18 @@
 
 struct HttpClient::Impl
 {
+    explicit Impl(Milliseconds idleTime)
+        : maxIdleTime(idleTime)
+    {
+    }
+
+    const Milliseconds maxIdleTime;
     std::mutex mutex;
     std::map<Address, std::vector<IdleConnection>> idle; // guarded by mutex
 
     ConnectionPtr takeIdle(const Address &address)
     {
-        const TimePoint now = SystemClock().now();
+        const BootTime now = BootClock::now();
         const std::scoped_lock lock(mutex);
         auto &connections = idle[address];
         while (!connections.empty()) {
@@ -95,22 +132,24 @@
 
     void putIdle(const Address &address, ConnectionPtr connection)
     {
-        const TimePoint expires = SystemClock().now() + maxIdleTime;
+        const BootTime expires = BootClock::now() + maxIdleTime;
         const std::scoped_lock lock(mutex);
         auto &connections = idle[address];
         if (connections.size() < maxIdlePerAddress)
             connections.push_back({std::move(connection), expires});
     }
 
-    static ConnectionPtr connect(const Address &address)
+    static ConnectionPtr connect(const Address &address, BootTime deadline)
     {
+        if (!accepts(address, std::min(connectTimeout, Milliseconds(remainingMs(deadline)))))
+            return nullptr;
         std::array<char, errorTextBytes> error{};
         return ConnectionPtr(mg_connect_client(address.host().c_str(), address.port(), 0,
                                                error.data(), error.size()));
     }
 
     StatusOr<HttpResponse> send(const Address &address, const HttpRequest &request,
-                                TimePoint deadline, ConnectionPtr connection)
+                                BootTime deadline, ConnectionPtr connection)
     {
         const std::string text = headText(address, request) + request.body;
         const int written = mg_write(connection.get(), text.data(), text.size());
@@ -139,8 +178,8 @@
     }
 };
 
-HttpClient::HttpClient()
-    : m_impl(std::make_unique<Impl>())
+HttpClient::HttpClient(Milliseconds maxIdleTime)
+    : m_impl(std::make_unique<Impl>(maxIdleTime))
 {
     mg_init_library(0);
 }
@@ -149,15 +188,21 @@
 
 StatusOr<HttpResponse> HttpClient::exchange(const Address &address, const HttpRequest &request,
                                             TimePoint deadline, Resend resend)
+{
+    return exchange(address, request, BootClock::now() + (deadline - SystemClock().now()), resend);
+}
+
+StatusOr<HttpResponse> HttpClient::exchange(const Address &address, const HttpRequest &request,
+                                            BootTime deadline, Resend resend)
 {
     ConnectionPtr pooled = m_impl->takeIdle(address);
     if (pooled != nullptr) {
         auto response = m_impl->send(address, request, deadline, std::move(pooled));
-        const bool late = SystemClock().now() >= deadline;
+        const bool late = BootClock::now() >= deadline;
         if (response.ok() || resend == Resend::Never || late)
             return response;
     }
-    ConnectionPtr fresh = Impl::connect(address);
+    ConnectionPtr fresh = Impl::connect(address, deadline);
     if (fresh == nullptr)
         return makeError(ErrorKind::Unreachable, "cannot connect to " + address.text());
     return m_impl->send(address, request, deadline, std::move(fresh));
--- /dev/null
+++ b/src/libruntime/exchange_channel.cpp
@@ -0,0 +1,28 @@
+// Exchange messages as JSON over HTTP.
+#include "lavenderarch/runtime/exchange_channel.h"
+
+#include "lavenderarch/http/header_names.h"
+#include "lavenderarch/http/http_client.h"
+
+namespace lavenderarch {
+
+StatusOr<ExchangeReply> ExchangeChannel::send(const Address &owner, const std::string &cell,
+                                              const ExchangeRequest &request, BootTime deadline)
+{
+    const HttpRequest message{"POST",
+                              exchangePath + cell,
+                              "",
+                              {{header::contentType, "application/json"}},
+                              Json(request).dump()};
+    const auto answer = m_client.exchange(owner, message, deadline, Resend::OnClosedConnection);
+    if (!answer.ok())
+        return answer.status();
+    if (answer->status != 200)
+        return refusalOf(*answer);
+    const auto parsed = parseJson(answer->body, "exchange reply");
+    if (!parsed.ok())
+        return parsed.status();
+    return fromJson<ExchangeReply>(*parsed, "exchange reply");
+}
+
+} // namespace lavenderarch
--- /dev/null
+++ b/src/libruntime/job_states.cpp
@@ -0,0 +1,60 @@
+// Cache of job states.
+#include "lavenderarch/runtime/job_states.h"
+
+#include "lavenderarch/telemetry/log.h"
+
+namespace lavenderarch {
+
+void JobStates::replace(const std::vector<Row> &rows)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_jobs.clear();
+    m_pending.clear();
+    for (const Row &row : rows)
+        applyLocked(row);
+}
+
+void JobStates::apply(const Row &row)
+{
+    const std::scoped_lock lock(m_mutex);
+    applyLocked(row);
+}
+
+void JobStates::applyLocked(const Row &row)
+{
+    const auto known = m_jobs.find(row.key.key);
+    if (known != m_jobs.end() && known->second.version >= row.version)
+        return;
+    if (known != m_jobs.end() && known->second.state.phase == JobPhase::Queued)
+        --m_pending[known->second.state.queue];
+    if (row.removed) {
+        m_jobs.erase(row.key.key);
+        return;
+    }
+    const auto parsed = parseJson(row.value, "state row " + row.key.key);
+    const auto state = parsed.ok() ? fromJson<JobStateRow>(*parsed, "state row")
+                                   : StatusOr<JobStateRow>(parsed.status());
+    if (!state.ok()) {
+        logFailure("states", "state row is unreadable", state.status(), {{"job", row.key.key}});
+        return;
+    }
+    m_jobs[row.key.key] = {*state, row.version};
+    if (state->phase == JobPhase::Queued)
+        ++m_pending[state->queue];
+}
+
+std::optional<JobStateRow> JobStates::find(const std::string &job) const
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto found = m_jobs.find(job);
+    return found == m_jobs.end() ? std::nullopt : std::optional(found->second.state);
+}
+
+std::int64_t JobStates::pending(const std::string &queue) const
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto found = m_pending.find(queue);
+    return found == m_pending.end() ? 0 : found->second;
+}
+
+} // namespace lavenderarch
--- a/src/libscheduling/cell_owner_test.cpp
+++ b/src/libscheduling/cell_owner_test.cpp
@@ -1,7 +1,7 @@
 // Seeded runs of cell owners against a faulty store and faulty workers, checked from histories.
-#include "lavenderarch/platform/memory_object_store.h"
 #include "lavenderarch/scheduling/adaptive_policy.h"
 #include "lavenderarch/scheduling/cell_owner.h"
+#include "lavenderarch/storage/memory_object_store.h"
 
 #include "faulty_table.h"
 #include "worker_model.h"
--- a/src/libscheduling/load_model.h
+++ b/src/libscheduling/load_model.h
@@ -1,9 +1,9 @@
 // Small load model that feeds the decision logic in benchmarks: no network, no processes.
 #pragma once
 
-#include "lavenderarch/platform/memory_object_store.h"
-#include "lavenderarch/platform/memory_table.h"
 #include "lavenderarch/scheduling/cell_owner.h"
+#include "lavenderarch/storage/memory_object_store.h"
+#include "lavenderarch/storage/memory_table.h"
 #include "worker_model.h"
 
 #include <algorithm>
--- a/src/libscheduling/scheduling_bench.cpp
+++ b/src/libscheduling/scheduling_bench.cpp
@@ -1,8 +1,8 @@
 // Cost of the decision logic: time per placement, bytes per worker and task, recovery.
-#include "lavenderarch/platform/memory_object_store.h"
-#include "lavenderarch/platform/memory_table.h"
 #include "lavenderarch/scheduling/adaptive_policy.h"
 #include "lavenderarch/scheduling/cell_scheduler.h"
+#include "lavenderarch/storage/memory_object_store.h"
+#include "lavenderarch/storage/memory_table.h"
 
 #include <benchmark/benchmark.h>
 
--- a/src/libplatform/http_object_store.cpp
+++ b/src/libstorage/http_object_store.cpp
@@ -1,5 +1,5 @@
 // Object store over HTTP. The wire format is documented in docs/PLATFORM.md.
-#include "lavenderarch/platform/http_object_store.h"
+#include "lavenderarch/storage/http_object_store.h"
 
 #include "store_http.h"
 
--- a/src/libplatform/http_table.cpp
+++ b/src/libstorage/http_table.cpp
@@ -1,5 +1,5 @@
 // Table service over HTTP. The wire format is documented in docs/PLATFORM.md.
-#include "lavenderarch/platform/http_table.h"
+#include "lavenderarch/storage/http_table.h"
 
 #include "lavenderarch/http/http_client.h"
 #include "store_http.h"
--- a/src/libplatform/http_workers.cpp
+++ b/src/libstorage/http_workers.cpp
@@ -1,5 +1,5 @@
 // Workers over HTTP. The wire format is documented in docs/PLATFORM.md.
-#include "lavenderarch/platform/http_workers.h"
+#include "lavenderarch/storage/http_workers.h"
 
 #include "lavenderarch/http/http_client.h"
 #include "store_http.h"
--- a/src/libplatform/memory_object_store.cpp
+++ b/src/libstorage/memory_object_store.cpp
@@ -1,5 +1,5 @@
 // Object store held in memory.
-#include "lavenderarch/platform/memory_object_store.h"
+#include "lavenderarch/storage/memory_object_store.h"
 
 namespace lavenderarch {
 
--- a/src/libplatform/memory_table.cpp
+++ b/src/libstorage/memory_table.cpp
@@ -1,5 +1,5 @@
 // Table service held in memory.
-#include "lavenderarch/platform/memory_table.h"
+#include "lavenderarch/storage/memory_table.h"
 
 namespace lavenderarch {
 
--- a/src/libplatform/platform_test.cpp
+++ b/src/libstorage/storage_test.cpp
@@ -1,6 +1,6 @@
 // Tests of conditional transactions and of the resolution of lost answers.
 #include "lavenderarch/core/random.h"
-#include "lavenderarch/platform/commit_once.h"
+#include "lavenderarch/storage/commit_once.h"
 
 #include "faulty_table.h"
 
--- a/src/libtelemetry/log.cpp
+++ b/src/libtelemetry/log.cpp
@@ -3,6 +3,7 @@
 
 #include "lavenderarch/core/error_answer.h"
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/jsonlayout.h>
 #include <log4cxx/logger.h>
@@ -11,6 +12,9 @@
 namespace lavenderarch {
 namespace {
 
+/// Lines that wait for standard output; about 200 bytes each.
+constexpr int bufferedLines = 512;
+
 log4cxx::LevelPtr toLibraryLevel(LogLevel level)
 {
     switch (level) {
@@ -41,14 +45,24 @@
     return makeError(ErrorKind::InvalidRequest, "log level '" + std::string(text) + "' is unknown");
 }
 
-void startLogging(std::string_view program, LogLevel minimumLevel)
+void startLogging(std::string_view program, LogLevel minimumLevel, LogTarget target)
 {
+    const bool standardOutput = target == LogTarget::StandardOutput;
     auto layout = std::make_shared<log4cxx::JSONLayout>();
-    auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, log4cxx::ConsoleAppender::getSystemErr());
+    auto console = std::make_shared<log4cxx::ConsoleAppender>(
+        layout, standardOutput ? log4cxx::ConsoleAppender::getSystemOut()
+                               : log4cxx::ConsoleAppender::getSystemErr());
     const auto root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
-    root->addAppender(appender);
+    if (standardOutput) {
+        auto buffer = std::make_shared<log4cxx::AsyncAppender>();
+        buffer->setBufferSize(bufferedLines);
+        buffer->setBlocking(false);
+        buffer->addAppender(console);
+        root->addAppender(buffer);
+    } else {
+        root->addAppender(console);
+    }
     root->setLevel(toLibraryLevel(minimumLevel));
     logEvent(LogLevel::Debug, program, "logging started");
 }
@@ -67,6 +81,20 @@
         log4cxx::MDC::remove(std::string(field.name));
 }
 
+void logDecision(LogLevel level, std::string_view component, std::string_view message,
+                 const std::vector<std::pair<std::string, std::string>> &fields)
+{
+    const auto logger = log4cxx::Logger::getLogger(std::string(component));
+    const auto libraryLevel = toLibraryLevel(level);
+    if (!logger->isEnabledFor(libraryLevel))
+        return;
+    for (const auto &[name, value] : fields)
+        log4cxx::MDC::put(name, value);
+    logger->log(libraryLevel, std::string(message));
+    for (const auto &[name, value] : fields)
+        log4cxx::MDC::remove(name);
+}
+
 void logFailure(std::string_view component, std::string_view message, const Status &status,
                 std::initializer_list<LogField> fields)
 {
--- a/src/testing/faulty_table.h
+++ b/src/testing/faulty_table.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "lavenderarch/core/random.h"
-#include "lavenderarch/platform/memory_table.h"
+#include "lavenderarch/storage/memory_table.h"
 
 #include <mutex>
 #include <optional>
--- a/src/testing/task_run.h
+++ b/src/testing/task_run.h
@@ -3,7 +3,7 @@
 
 #include "lavenderarch/core/identifiers.h"
 #include "lavenderarch/core/json_types.h"
-#include "lavenderarch/platform/task_report.h"
+#include "lavenderarch/storage/task_report.h"
 
 namespace lavenderarch {
 
--- a/src/testing/worker_model.h
+++ b/src/testing/worker_model.h
@@ -1,9 +1,9 @@
 // A played worker: tasks under leases, commands with fencing, lagged reports. No clock inside.
 #pragma once
 
-#include "lavenderarch/platform/command_result.h"
-#include "lavenderarch/platform/worker_info.h"
-#include "lavenderarch/platform/worker_report.h"
+#include "lavenderarch/storage/command_result.h"
+#include "lavenderarch/storage/worker_info.h"
+#include "lavenderarch/storage/worker_report.h"
 #include "task_run.h"
 #include "worker_truth.h"
 
--- a/src/testing/worker_truth.h
+++ b/src/testing/worker_truth.h
@@ -3,7 +3,7 @@
 
 #include "lavenderarch/core/digest.h"
 #include "lavenderarch/core/time.h"
-#include "lavenderarch/platform/worker_command.h"
+#include "lavenderarch/storage/worker_command.h"
 
 #include <cmath>
 #include <map>
