Placement: serving tasks share minions, filling tasks go to others; paces each half second

Cause: paces were decided several times within the half second that a load figure covers, and fills stood beside all serving tasks; the renewal asked again at once while ends were unconfirmed.

--- a/src/include/lavenderarch/runtime/agent_loop.h
+++ b/src/include/lavenderarch/runtime/agent_loop.h
@@ -30,6 +30,10 @@
 inline constexpr std::int64_t renewWaitMs = 400;
 inline constexpr Milliseconds renewSlack{800};
 inline constexpr Milliseconds renewRetryPause{120};
+/// Longest wait for the owner's confirmation of ends before the minion is asked again.
+inline constexpr Milliseconds confirmationWait{150};
+/// Time between two decisions on paces: the load figures cover the last half second.
+inline constexpr Milliseconds paceInterval{500};
 /// One try of an order to the minion, which answers on the same VM.
 inline constexpr Milliseconds orderTry{400};
 inline constexpr Milliseconds orderRetryPause{60};
@@ -64,6 +68,7 @@
             thread.request_stop();
         m_news.notify_all();
         m_work.notify_all();
+        m_confirmed.notify_all();
     }
     AgentLoop(const AgentLoop &) = delete;
     AgentLoop &operator=(const AgentLoop &) = delete;
@@ -146,6 +151,7 @@
         for (RunOrder &order : m_ledger.takeReply(*reply, sentAt, BootClock::now()))
             m_orders.push_back(std::move(order));
         m_work.notify_all();
+        m_confirmed.notify_all();
         return true;
     }
 
@@ -195,9 +201,21 @@
             takeListing(context, listing, sentAt);
             if (!listing.ok())
                 std::this_thread::sleep_for(renewRetryPause);
+            else if (!listing->ends.empty())
+                awaitConfirmation(stop, endsSeen);
         }
     }
 
+    /// The minion answers at once while it lists ends that are not confirmed: the next renewal
+    /// waits until the owner has stored some of them.
+    void awaitConfirmation(const std::stop_token &stop, std::int64_t endsSeen)
+    {
+        std::unique_lock lock(m_mutex);
+        m_confirmed.wait_for(lock, confirmationWait, [&] {
+            return stop.stop_requested() || m_ledger.endsSeen() != endsSeen;
+        });
+    }
+
     void takeListing(const ControlContext &context, const StatusOr<MinionListing> &listing,
                      BootTime sentAt)
     {
@@ -209,7 +227,10 @@
             const bool reachable = m_ledger.reachable();
             if (listing.ok()) {
                 m_ledger.takeListing(*listing, context.epoch, sentAt, BootClock::now());
-                paces = decidePaces(m_ledger.runs());
+                if (BootClock::now() >= m_nextPace) {
+                    paces = decidePaces(m_ledger.runs());
+                    m_nextPace = BootClock::now() + paceInterval;
+                }
             } else {
                 m_ledger.renewalFailed(BootClock::now());
             }
@@ -357,7 +378,9 @@
     std::mutex m_mutex;
     std::condition_variable m_news;      // wakes the report
     std::condition_variable m_work;      // wakes the order threads
+    std::condition_variable m_confirmed; // wakes the renewal
     RunLedger m_ledger;                  // guarded by m_mutex
+    BootTime m_nextPace{};               // only on the renewal's thread
     std::deque<RunOrder> m_orders;       // guarded by m_mutex
     std::optional<Address> m_owner;      // guarded by m_mutex
     bool m_connected = false;            // guarded by m_mutex
--- a/src/libdispatch/pace_controller.cpp
+++ b/src/libdispatch/pace_controller.cpp
@@ -7,10 +7,12 @@
 namespace {
 
 /// Shares of the tail target: above the first fills slow down, below the second they speed up.
-constexpr double slowDownAbove = 0.85;
-constexpr double speedUpBelow = 0.65;
+constexpr double slowDownAbove = 1.0;
+constexpr double speedUpBelow = 0.8;
+/// Far above the target fills slow down faster.
+constexpr double farAbove = 1.5;
 /// Steps of the pace, in percent; below the least step a fill stands still.
-constexpr int speedUpStep = 10;
+constexpr int speedUpStep = 20;
 constexpr int leastPace = 10;
 
 double worstTailShare(const std::map<RunKey, RunLedger::LocalRun> &runs)
@@ -26,7 +28,7 @@
 int nextPace(int pace, double tailShare)
 {
     if (tailShare > slowDownAbove) {
-        const int slower = tailShare > 1 ? pace / 4 : pace / 2;
+        const int slower = tailShare > farAbove ? pace / 4 : pace / 2;
         return slower < leastPace ? 0 : slower;
     }
     return tailShare < speedUpBelow ? std::min(100, pace + speedUpStep) : pace;
--- a/src/libdispatch/placement.cpp
+++ b/src/libdispatch/placement.cpp
@@ -7,13 +7,14 @@
 namespace {
 
 /// Weights of the score, in units of an idle minion's whole capacity.
-constexpr double rackWeight = 4;          // off the data's rack a task takes longer
-constexpr double fillBesideServing = 1.5; // filling tasks raise the tail of serving ones
-constexpr double avoidWeight = 8;         // lately failed tasks of several jobs
-constexpr double sameFailureWeight = 4;   // this task's last run failed there
-constexpr double suspectWeight = 0.5;     // some failure lately
-/// Least share of the processors that a filling task must find unused.
-constexpr double fillRoom = 1.0;
+constexpr double rackWeight = 4;           // off the data's rack a task takes longer
+constexpr double fillBesideServing = 0.8;  // filling tasks raise the tail of serving ones
+constexpr double serveBesideServing = 1;   // serving tasks share minions, to leave others to fills
+constexpr double packWeight = 1;           // and fill the fullest of these first
+constexpr double plainBesideServing = 0.5; // plain tasks do not disturb serving ones
+constexpr double avoidWeight = 8;          // lately failed tasks of several jobs
+constexpr double sameFailureWeight = 4;    // this task's last run failed there
+constexpr double suspectWeight = 0.5;      // some failure lately
 
 bool hasLabel(const MinionView &view, const std::string &label)
 {
@@ -67,14 +68,17 @@
     const std::int64_t unused = capacity.milliCores() - used.milliCores();
     double score = 0;
     if (step.fills) {
-        const std::int64_t left = unused - view.fillCores;
-        score = share(left, capacity.milliCores()) * fillRoom;
+        score = share(unused - view.fillCores, capacity.milliCores());
         score -= view.serving > 0 ? fillBesideServing : 0;
+    } else if (step.tailTargetMs > 0) {
+        score = packWeight * (1 - share(unused, capacity.milliCores()));
+        score += view.serving > 0 ? serveBesideServing : 0;
+        score -= share(view.fillCores, capacity.milliCores());
     } else {
-        const double processors = share(unused - view.fillCores / 2, capacity.milliCores());
         const double memory = share(capacity.memoryMib() - used.memoryMib(), capacity.memoryMib());
-        score = std::min(processors, memory);
-        score -= step.tailTargetMs > 0 && view.fillCores > 0 ? fillBesideServing : 0;
+        score = std::min(share(unused, capacity.milliCores()), memory);
+        score += view.serving > 0 ? plainBesideServing : 0;
+        score -= share(view.fillCores, capacity.milliCores());
     }
     if (!step.preferredRack.empty() && hasLabel(view, step.preferredRack))
         score += rackWeight;
