--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -213,6 +213,9 @@
             }
             continue;
         }
+        // A stop ordered before this session began has to be ordered again.
+        if (task->phase == TaskPhase::Stopping && task->stopOrder == 0)
+            orderStop(view, report.run, task->stopOrder);
         if (report.progressPercent != task->progressPercent || report.pacePercent < 100) {
             task->progressPercent = report.progressPercent;
             task->progressAt = now;
