Dispatch tests: a whole cell under seeded faults, with invariants

The played cell found: a minion's clock of 0 was taken as unknown (starts refused for want of a lease), a reachable minion was reported a poll late, a malformed phase was read as queued.

--- a/src/include/lavenderarch/dispatch/run_ledger.h
+++ b/src/include/lavenderarch/dispatch/run_ledger.h
@@ -103,7 +103,7 @@
     std::int64_t m_endsSeen = 0;
     BootTime m_grantUntil{};
     std::int64_t m_clockMs = 0; // the minion's clock ...
-    BootTime m_clockAt{};       // ... as of this moment or earlier
+    BootTime m_clockAt{};       // ... as of this moment or earlier; unset: not known
     Lease m_sentLease;          // newest that may have reached the minion
 };
 
--- /dev/null
+++ b/src/libdispatch/dispatch_test.cpp
@@ -0,0 +1,267 @@
+// Tests of the dispatcher and the agent's ledger, alone and as a whole cell under seeded faults.
+#include "played_cell.h"
+
+using namespace lavenderarch;
+using lavenderarch::testing::CellFaults;
+using lavenderarch::testing::PlayedCell;
+
+namespace {
+
+constexpr int seeds = 12;
+
+StepSpec plainStep(int count, std::int64_t milliCores)
+{
+    StepSpec step;
+    step.count = count;
+    step.demand = Resources(milliCores, 200, 0);
+    return step;
+}
+
+JobSpec twoSteps(const std::string &id, int count = 4)
+{
+    JobSpec job;
+    job.id = id;
+    job.attempts = 2;
+    job.steps = {plainStep(count, 800), plainStep(count, 500)};
+    job.steps[1].after = {0};
+    return job;
+}
+
+JobSpec lasting(const std::string &id)
+{
+    JobSpec job;
+    job.id = id;
+    job.steps = {plainStep(3, 700)};
+    job.steps[0].longRunning = true;
+    return job;
+}
+
+/// Plays jobs under faults, then some calm time, after which all jobs have to be done.
+void playUnder(const CellFaults &faults, bool cancels = false)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        PlayedCell cell(seed, 5, faults);
+        for (int job = 0; job < 12; ++job) {
+            cell.submit(twoSteps("job" + std::to_string(job)));
+            cell.play(Milliseconds(1500));
+        }
+        cell.setFaults({});
+        cell.play(Milliseconds(40'000));
+        for (int job = 0; job < 12; ++job) {
+            const JobPhase phase = cell.phase("job" + std::to_string(job));
+            const bool ended = phase == JobPhase::Done || (cancels && phase == JobPhase::Cancelled);
+            CHECK_MESSAGE(ended, "job ", job, " did not end");
+        }
+        CHECK(cell.activeRuns() == 0);
+    }
+}
+
+} // namespace
+
+TEST_CASE("a calm cell does all jobs, each task once")
+{
+    PlayedCell cell(1, 4, {});
+    cell.submit(twoSteps("a"));
+    cell.submit(twoSteps("b"));
+    cell.play(Milliseconds(15'000));
+    CHECK(cell.phase("a") == JobPhase::Done);
+    CHECK(cell.phase("b") == JobPhase::Done);
+    CHECK(cell.starts() == 16);
+}
+
+TEST_CASE("owners that crash")
+{
+    playUnder({.ownerCrash = 300});
+}
+TEST_CASE("agents that start anew")
+{
+    playUnder({.agentRestart = 400});
+}
+TEST_CASE("minions that crash")
+{
+    playUnder({.minionCrash = 500});
+}
+TEST_CASE("agents that are cut off")
+{
+    playUnder({.agentCut = 600});
+}
+TEST_CASE("orders that are carried out late")
+{
+    playUnder({.lateOrder = 8});
+}
+TEST_CASE("commits whose answer is lost")
+{
+    playUnder({.lostCommit = 5});
+}
+TEST_CASE("cancelled jobs")
+{
+    playUnder({.cancel = 60}, true);
+}
+TEST_CASE("all faults together")
+{
+    playUnder({.ownerCrash = 500,
+               .agentRestart = 600,
+               .minionCrash = 700,
+               .agentCut = 900,
+               .lateOrder = 15,
+               .lostCommit = 8,
+               .cancel = 200},
+              true);
+}
+
+TEST_CASE("a task that always fails ends its job after its attempts")
+{
+    PlayedCell cell(3, 4, {});
+    cell.failing.insert("bad.0.0.1");
+    cell.submit(twoSteps("bad"));
+    cell.submit(twoSteps("good"));
+    cell.play(Milliseconds(20'000));
+    CHECK(cell.phase("bad") == JobPhase::Failed);
+    CHECK(cell.phase("good") == JobPhase::Done);
+    CHECK(cell.activeRuns() == 0);
+}
+
+TEST_CASE("a lasting job is stopped by its cancellation although the owner has changed")
+{
+    // The stop that a new owner orders before an agent's first message must reach the agent.
+    PlayedCell cell(4, 4, {});
+    cell.submit(lasting("watch"));
+    cell.play(Milliseconds(1500));
+    CHECK(cell.activeRuns() > 0);
+    cell.setFaults({.ownerCrash = 1});
+    cell.play(PlayedCell::stepTime);
+    cell.setFaults({});
+    cell.cancel("watch");
+    cell.play(Milliseconds(6000));
+    CHECK(cell.phase("watch") == JobPhase::Cancelled);
+    CHECK(cell.activeRuns() == 0);
+}
+
+TEST_CASE("a closed data centre gets no new run")
+{
+    PlayedCell cell(5, 4, {});
+    cell.owner().setClosedDataCentres({"dc-a"});
+    cell.submit(twoSteps("a"));
+    cell.play(Milliseconds(180));
+    CHECK(cell.minion(0).active().empty());
+    CHECK(cell.minion(2).active().empty());
+    CHECK(cell.activeRuns() == 4);
+}
+
+TEST_CASE("placement keeps to labels and to the limit a minion")
+{
+    PlayedCell cell(6, 4, {});
+    JobSpec job = twoSteps("a", 4);
+    job.steps[0].maxPerMinion = 1;
+    cell.submit(job);
+    JobSpec labelled = twoSteps("b", 2);
+    labelled.steps[0].requiredLabel = "r1";
+    cell.submit(labelled);
+    cell.play(Milliseconds(180));
+    for (std::size_t index = 0; index < 4; ++index) {
+        int same = 0;
+        for (const auto &[task, run] : cell.minion(index).active()) {
+            same += task.rfind("a.", 0) == 0 ? 1 : 0;
+            const bool misplaced = index < 3 && task.rfind("b.", 0) == 0;
+            CHECK_FALSE(misplaced);
+        }
+        CHECK(same <= 1);
+    }
+}
+
+TEST_CASE("all members of a gang start together, with one run number")
+{
+    PlayedCell cell(7, 4, {});
+    JobSpec job = twoSteps("g", 4);
+    job.steps[0].gang = true;
+    cell.submit(job);
+    cell.play(Milliseconds(180));
+    CHECK(cell.activeRuns() == 4);
+    for (std::size_t index = 0; index < 4; ++index) {
+        for (const auto &[task, run] : cell.minion(index).active())
+            CHECK(run.run == 1);
+    }
+}
+
+TEST_CASE("an occurrence starts when it is due, not before")
+{
+    PlayedCell cell(8, 3, {});
+    JobSpec job = twoSteps("t", 1);
+    job.occurrences = 2;
+    job.firstDueMs = 1'002'000;
+    job.intervalMs = 5000;
+    cell.submit(job);
+    cell.play(Milliseconds(1900));
+    CHECK(cell.starts() == 0);
+    cell.play(Milliseconds(400));
+    CHECK(cell.starts() == 1);
+    cell.play(Milliseconds(20'000));
+    CHECK(cell.starts() == 4);
+    CHECK(cell.phase("t") == JobPhase::Done);
+}
+
+TEST_CASE("a job's progress survives its stored form")
+{
+    JobModel job(twoSteps("j", 3));
+    TaskState *task = job.find({"j", 0, 0, 1});
+    REQUIRE(task != nullptr);
+    task->phase = TaskPhase::Placed;
+    task->run = 4;
+    task->failures = 1;
+    task->agent = "agent-1";
+    task->life = {"m1", 77};
+    task->checkpoint = "c";
+    job.find({"j", 0, 0, 0})->phase = TaskPhase::Done;
+    job.refresh();
+    JobModel read(twoSteps("j", 3));
+    REQUIRE(read.loadProgress(job.progressText()).ok());
+    CHECK(read.phase() == JobPhase::Running);
+    CHECK(read.activeRuns() == 1);
+    CHECK(read.find({"j", 0, 0, 0})->phase == TaskPhase::Done);
+    CHECK(read.find({"j", 0, 0, 1})->life == MinionLife{"m1", 77});
+    CHECK(read.find({"j", 0, 0, 1})->run == 4);
+    CHECK_FALSE(read.loadProgress("{\"phase\": 7, \"tasks\": []}").ok());
+}
+
+TEST_CASE("bad jobs are refused with the name of the field")
+{
+    JobSpec job = twoSteps("j");
+    job.steps[1].after = {1};
+    CHECK(messageOf(validateJob(job)) == "steps[1].after must name earlier steps");
+    job.steps.clear();
+    CHECK(messageOf(validateJob(job)) == "steps must not be empty");
+}
+
+TEST_CASE("task names")
+{
+    CHECK(TaskName::parse("ab.0.1.17") == TaskName{"ab", 0, 1, 17});
+    CHECK(TaskName{"ab", 2, 1, 17}.text() == "ab.2.1.17");
+    for (const char *bad : {"", "ab", "ab.1", "ab.1.2", "ab.x.1.2", ".1.2.3", "ab.1.2.3x"})
+        CHECK_FALSE(TaskName::parse(bad));
+}
+
+TEST_CASE("takeover waits for an owner that is silent, not for a store that is")
+{
+    OwnershipWatch watch;
+    const OwnerRecord record{"o", "1.2.3.4:5", 3, 9, "x", false};
+    BootTime now(Milliseconds(10'000));
+    const auto read = [&](std::int64_t version, int stepMs) {
+        now += Milliseconds(stepMs);
+        return watch.observe(record, version, now, now + Milliseconds(5));
+    };
+    CHECK_FALSE(read(7, 400));
+    for (int turn = 0; turn < 5; ++turn)
+        CHECK_FALSE(read(7, 400));
+    watch.readFailed();
+    for (int turn = 0; turn < 6; ++turn)
+        CHECK_FALSE(read(7, 400));
+    CHECK_FALSE(read(8, 400)); // the owner renewed
+    for (int turn = 0; turn < 6; ++turn)
+        CHECK_FALSE(read(8, 400));
+    CHECK(read(8, 400));
+    OwnerRecord released = record;
+    released.released = true;
+    CHECK(watch.observe(released, 9, now, now + Milliseconds(5)));
+    CHECK(OwnershipWatch().observe({}, 0, now, now + Milliseconds(5)));
+}
--- a/src/libdispatch/job_model.cpp
+++ b/src/libdispatch/job_model.cpp
@@ -148,6 +148,8 @@
     if (!stored.ok())
         return stored.status();
     try {
+        if (!stored->at("phase").is_string())
+            return makeError(ErrorKind::Internal, "progress of job " + m_spec.id + ": phase");
         m_phase = stored->at("phase").get<JobPhase>();
         m_cancelled = m_phase == JobPhase::Cancelled;
         if (!stored->contains("tasks"))
--- /dev/null
+++ b/src/libdispatch/played_cell.h
@@ -0,0 +1,405 @@
+// A whole cell under seeded faults: owners, agents and minions without sockets, threads or clocks.
+#pragma once
+
+#include "lavenderarch/dispatch/cell_dispatcher.h"
+#include "lavenderarch/dispatch/cell_tables.h"
+#include "lavenderarch/dispatch/ownership_watch.h"
+#include "lavenderarch/dispatch/queue_catalog.h"
+#include "played_minion.h"
+
+#include <cstdlib>
+#include <doctest/doctest.h>
+#include <iostream>
+
+namespace lavenderarch::testing {
+
+/// Which faults a run has; each is drawn about once in so many steps, 0: never.
+struct CellFaults
+{
+    int ownerCrash = 0;
+    int agentRestart = 0;
+    int minionCrash = 0;
+    int agentCut = 0;   ///< for 3 to 12 s
+    int lateOrder = 0;  ///< share of orders: 1 in so many is carried out seconds later
+    int lostCommit = 0; ///< share of commits whose answer is lost
+    int cancel = 0;
+};
+
+/// Plays steps of 20 ms and checks after each what must always hold.
+class PlayedCell
+{
+public:
+    static constexpr Milliseconds stepTime{20};
+
+    PlayedCell(std::uint64_t seed, int minions, CellFaults faults)
+        : m_random(seed)
+        , m_faults(faults)
+        , m_now(Milliseconds(1'000'000))
+    {
+        auto catalog = std::make_shared<QueueCatalog>();
+        catalog->version = 1;
+        catalog->queues.push_back({"q", "h", "/q/", "svc", 0, 2, 1.5, 400, 3000, false});
+        catalog->services.insert("svc");
+        m_catalog = catalog;
+        for (int index = 0; index < minions; ++index)
+            addMinion(index);
+        takeOver();
+    }
+
+    void submit(JobSpec job)
+    {
+        job.service = "svc";
+        job.queue = "q";
+        job.acceptedMs = m_now.time_since_epoch().count();
+        m_specs[job.id] = job;
+        apply({cells::jobWrite("svc", job), cells::stateWrite("svc", job, JobPhase::Queued)});
+        if (m_owner)
+            m_owner->applyJobRow(m_rows.at(cells::jobKey("svc", job.id)), m_now);
+    }
+
+    void cancel(const std::string &id)
+    {
+        if (!m_cancelledAt.try_emplace(id, m_now).second)
+            return;
+        apply({{cells::cancelKey("svc", id), "{}", false}});
+        if (m_owner)
+            m_owner->applyJobRow(m_rows.at(cells::cancelKey("svc", id)), m_now);
+    }
+
+    void play(Milliseconds duration)
+    {
+        for (const BootTime end = m_now + duration; m_now < end; m_now += stepTime)
+            playStep();
+    }
+    void setFaults(CellFaults faults) { m_faults = faults; }
+
+    JobPhase phase(const std::string &id) const
+    {
+        const Row &row = m_rows.at(cells::stateKey("svc", id));
+        return Json::parse(row.value).at("phase").get<JobPhase>();
+    }
+    std::size_t activeRuns() const
+    {
+        std::size_t count = 0;
+        for (const auto &agent : m_agents)
+            count += agent->minion.active().size();
+        return count;
+    }
+    CellDispatcher &owner() { return *m_owner; }
+    PlayedMinion &minion(std::size_t index) { return m_agents.at(index)->minion; }
+    int starts() const { return m_starts; }
+    /// A task whose name is listed fails each time.
+    std::set<std::string> failing;
+    /// Prints the owner's decisions.
+    bool trace = std::getenv("LAVENDER_TRACE") != nullptr;
+
+private:
+    struct Agent
+    {
+        std::string name;
+        PlayedMinion minion;
+        std::unique_ptr<RunLedger> ledger;
+        std::deque<RunOrder> orders;
+        BootTime cutUntil{};
+        BootTime nextPoll{};
+        BootTime nextRenewal{};
+        BootTime backAt{}; // a crashed minion begins a new life
+        std::int64_t sequence = 0;
+    };
+    struct Late
+    {
+        BootTime at{};
+        Agent *agent = nullptr;
+        MinionLife life;
+        RunOrder order;
+        std::int64_t fence = 0;
+        std::int64_t untilMs = 0;
+    };
+
+    bool drawn(int oneIn) { return oneIn > 0 && m_random() % static_cast<unsigned>(oneIn) == 0; }
+    Milliseconds between(int least, int most)
+    {
+        return Milliseconds(least +
+                            static_cast<int>(m_random() % static_cast<unsigned>(most - least + 1)));
+    }
+
+    void addMinion(int index)
+    {
+        auto agent = std::make_unique<Agent>();
+        agent->name = "agent-" + std::to_string(index);
+        PlayedMinion &minion = agent->minion;
+        minion.facts.service = "svc";
+        minion.facts.dataCentre = index % 2 == 0 ? "dc-a" : "dc-b";
+        minion.facts.labels = {"a", "r" + std::to_string(index / 3)};
+        minion.facts.capacity = Resources(4000, 8000, 0);
+        minion.begin("m" + std::to_string(index), m_now);
+        Agent *self = agent.get();
+        minion.onStart = [this, self](const RunKey &run) { checkStart(*self, run); };
+        minion.onEnd = [this](const RunKey &run, RunOutcome outcome) {
+            m_running.erase(run);
+            if (outcome == RunOutcome::Done)
+                m_done.insert(run.task);
+        };
+        minion.onNoted = [this](const RunKey &run, RunOutcome outcome) {
+            if (outcome == RunOutcome::Done)
+                m_notedDone.insert(run.task);
+            if (outcome == RunOutcome::Failed)
+                ++m_notedFailures[run.task];
+        };
+        agent->ledger = std::make_unique<RunLedger>(agent->name, "s0");
+        m_agents.push_back(std::move(agent));
+    }
+
+    void apply(const std::vector<RowWrite> &writes)
+    {
+        for (const RowWrite &write : writes) {
+            if (write.remove)
+                m_rows.erase(write.key);
+            else
+                m_rows[write.key] = {write.key, write.value, ++m_version, false};
+        }
+    }
+
+    void takeOver()
+    {
+        DispatchLimits limits;
+        limits.leaseMs = 5000;
+        m_owner = std::make_unique<CellDispatcher>("svc", limits, ++m_epoch);
+        std::vector<Row> jobs;
+        std::vector<Row> progress;
+        for (const auto &[key, row] : m_rows) {
+            if (key.table == cells::jobTable)
+                jobs.push_back(row);
+            if (key.table == cells::progressTable)
+                progress.push_back(row);
+        }
+        m_owner->load(jobs, progress, m_now);
+        m_owner->setCatalog(m_catalog);
+        m_commitAt = {};
+    }
+
+    void playStep()
+    {
+        playFaults();
+        for (const Late &late : std::exchange(m_late, {})) {
+            if (late.at > m_now)
+                m_late.push_back(late);
+            else if (late.agent->minion.facts.life == late.life)
+                startAt(*late.agent, late.order, late.fence, late.untilMs);
+        }
+        for (const auto &agent : m_agents)
+            playAgent(*agent);
+        playOwner();
+        checkCapacity();
+    }
+
+    void playFaults()
+    {
+        if (m_owner && drawn(m_faults.ownerCrash)) {
+            m_owner.reset();
+            m_takeOverAt = m_now + takeOverAfter;
+        }
+        if (!m_owner && m_now >= m_takeOverAt)
+            takeOver();
+        for (const auto &agent : m_agents) {
+            if (drawn(m_faults.agentRestart)) {
+                agent->ledger =
+                    std::make_unique<RunLedger>(agent->name, "s" + std::to_string(++m_sessions));
+                agent->orders.clear();
+            }
+            if (drawn(m_faults.agentCut))
+                agent->cutUntil = m_now + between(3000, 12'000);
+            if (agent->minion.up && drawn(m_faults.minionCrash)) {
+                agent->minion.crash();
+                agent->backAt = m_now + between(500, 9000);
+            }
+            if (!agent->minion.up && m_now >= agent->backAt) {
+                agent->minion.begin(agent->minion.facts.life.id, m_now);
+                agent->sequence = 0;
+            }
+        }
+        if (drawn(m_faults.cancel) && !m_specs.empty()) {
+            auto job = m_specs.begin();
+            std::advance(job, static_cast<std::ptrdiff_t>(m_random() % m_specs.size()));
+            cancel(job->first);
+        }
+    }
+
+    void playAgent(Agent &agent)
+    {
+        agent.minion.advance(m_now);
+        if (agent.minion.up)
+            agent.ledger->takeFacts(agent.minion.facts, ++agent.sequence);
+        if (m_owner && agent.cutUntil <= m_now &&
+            (agent.nextPoll <= m_now || agent.ledger->hasNews() ||
+             m_owner->hasOrders(agent.name))) {
+            agent.nextPoll = m_now + Milliseconds(900);
+            const BootTime sentAt = m_now;
+            m_owner->take(agent.ledger->snapshot(900), m_now, true);
+            for (RunOrder &order :
+                 agent.ledger->takeReply(m_owner->reply(agent.name, true), sentAt, m_now))
+                agent.orders.push_back(std::move(order));
+        }
+        while (!agent.orders.empty()) {
+            const RunOrder order = std::move(agent.orders.front());
+            agent.orders.pop_front();
+            carryOut(agent, order);
+        }
+        if (agent.nextRenewal > m_now)
+            return;
+        agent.nextRenewal = m_now + Milliseconds(100);
+        const auto lease = agent.ledger->lease(m_now);
+        if (lease)
+            agent.ledger->renewalSent(*lease);
+        const auto listing =
+            agent.minion.renew(lease, agent.ledger->epoch(), agent.ledger->endsSeen(), m_now);
+        if (listing)
+            agent.ledger->takeListing(*listing, agent.ledger->epoch(), m_now, m_now);
+        else
+            agent.ledger->renewalFailed(m_now);
+    }
+
+    void carryOut(Agent &agent, const RunOrder &order)
+    {
+        const std::int64_t fence = agent.ledger->epoch();
+        if (order.kind == OrderKind::Stop) {
+            if (agent.minion.stop(order.run, fence))
+                agent.ledger->stopConfirmed(order.run, m_now);
+            else
+                agent.orders.push_back(order);
+            if (!agent.minion.up)
+                agent.orders.clear();
+            return;
+        }
+        const auto lease = agent.ledger->lease(m_now);
+        if (!agent.ledger->isWanted(order.run))
+            return;
+        if (!lease) {
+            agent.ledger->startRefused(order.run, "no lease");
+            return;
+        }
+        agent.ledger->renewalSent(*lease);
+        if (drawn(m_faults.lateOrder)) {
+            m_late.push_back({m_now + between(200, 9000), &agent, agent.minion.facts.life, order,
+                              fence, lease->untilMinionMs});
+            return; // the start has no answer; the ledger keeps the run as starting
+        }
+        if (startAt(agent, order, fence, lease->untilMinionMs))
+            agent.ledger->startConfirmed(order.run, m_now);
+    }
+
+    bool startAt(Agent &agent, const RunOrder &order, std::int64_t fence, std::int64_t untilMs)
+    {
+        const bool fails = failing.count(order.run.task) != 0;
+        return agent.minion.start(order.run, fence, untilMs, between(200, 2500),
+                                  fails ? RunOutcome::Failed : RunOutcome::Done, m_now);
+    }
+
+    void playOwner()
+    {
+        if (!m_owner)
+            return;
+        m_owner->tick(m_now, m_now.time_since_epoch().count());
+        if (m_commitAt != BootTime{} && m_commitAt <= m_now) {
+            m_commitAt = {};
+            m_owner->commitApplied(m_now);
+        }
+        if (const auto commit = m_owner->prepareCommit(m_now)) {
+            // A commit whose answer is lost takes effect, and the owner learns of it later.
+            apply(commit->writes);
+            m_commitAt = m_now + (drawn(m_faults.lostCommit) ? between(100, 1500) : stepTime);
+            checkShown(*commit);
+        }
+        for (const auto &event : m_owner->takeEvents()) {
+            if (!trace)
+                continue;
+            std::string line = std::to_string(m_now.time_since_epoch().count()) + " " + event.message;
+            for (const auto &[name, value] : event.fields)
+                line += " " + name + "=" + value;
+            std::cerr << line << "\n";
+        }
+    }
+
+    // What must always hold.
+
+    void checkStart(Agent &agent, const RunKey &run)
+    {
+        ++m_starts;
+        const auto name = TaskName::parse(run.task);
+        REQUIRE(name);
+        const JobSpec &spec = m_specs.at(name->job);
+        for (const RunKey &other : m_running)
+            CHECK_MESSAGE(other.task != run.task, "in two places at once: ", run.task);
+        m_running.insert(run);
+        CHECK_MESSAGE(m_notedDone.count(run.task) == 0, "started after its end: ", run.task);
+        CHECK_MESSAGE(m_notedFailures[run.task] < spec.attempts, "too many attempts: ", run.task);
+        const auto &wanted = spec.steps[static_cast<std::size_t>(name->step)];
+        for (const int before : wanted.after) {
+            for (int index = 0; index < spec.steps[static_cast<std::size_t>(before)].count; ++index)
+                CHECK_MESSAGE(
+                    m_done.count(TaskName{name->job, name->occurrence, before, index}.text()) == 1,
+                    "started before its step's turn: ", run.task);
+        }
+        const auto cancelled = m_cancelledAt.find(name->job);
+        if (cancelled != m_cancelledAt.end() && agent.cutUntil <= m_now && m_owner &&
+            m_faults.lateOrder == 0 && m_faults.ownerCrash == 0)
+            CHECK_MESSAGE(m_now - cancelled->second < Milliseconds(3000),
+                          "started after it was cancelled: ", run.task);
+    }
+
+    void checkCapacity()
+    {
+        for (const auto &agent : m_agents) {
+            Resources used;
+            for (const auto &[task, run] : agent->minion.active()) {
+                const auto name = TaskName::parse(task);
+                const auto &step =
+                    m_specs.at(name->job).steps[static_cast<std::size_t>(name->step)];
+                used = used + Resources(step.fills ? 0 : step.demand.milliCores(),
+                                        step.demand.memoryMib(), 0);
+            }
+            CHECK_MESSAGE(used.fitsInto(agent->minion.facts.capacity),
+                          "over capacity: ", agent->name);
+        }
+    }
+
+    void checkShown(const CellCommit &commit)
+    {
+        for (const RowWrite &write : commit.writes) {
+            if (write.key.table != cells::stateTable || write.remove ||
+                Json::parse(write.value).at("phase").get<JobPhase>() != JobPhase::Done)
+                continue;
+            const JobSpec &spec = m_specs.at(write.key.key);
+            for (std::size_t step = 0; step < spec.steps.size(); ++step) {
+                for (int index = 0; index < spec.steps[step].count; ++index)
+                    CHECK_MESSAGE(
+                        m_done.count(TaskName{spec.id, 0, static_cast<int>(step), index}.text()) ==
+                            1,
+                        "shown as done too early: ", spec.id);
+            }
+        }
+    }
+
+    RandomEngine m_random;
+    CellFaults m_faults;
+    BootTime m_now;
+    std::shared_ptr<const QueueCatalog> m_catalog;
+    std::map<RowKey, Row> m_rows;
+    std::int64_t m_version = 0;
+    std::int64_t m_epoch = 0;
+    int m_sessions = 0;
+    int m_starts = 0;
+    std::unique_ptr<CellDispatcher> m_owner;
+    BootTime m_takeOverAt{};
+    BootTime m_commitAt{}; // when the owner learns that its commit is stored
+    std::vector<std::unique_ptr<Agent>> m_agents;
+    std::vector<Late> m_late;
+    std::map<std::string, JobSpec> m_specs;
+    std::map<std::string, BootTime> m_cancelledAt;
+    std::set<RunKey> m_running;
+    std::set<std::string> m_done;
+    std::set<std::string> m_notedDone;
+    std::map<std::string, int> m_notedFailures;
+};
+
+} // namespace lavenderarch::testing
--- /dev/null
+++ b/src/libdispatch/played_minion.h
@@ -0,0 +1,152 @@
+// A played minion for tests: runs tasks under leases, may answer late, not at all, or crash.
+#pragma once
+
+#include "lavenderarch/core/random.h"
+#include "lavenderarch/dispatch/minion_facts.h"
+#include "lavenderarch/dispatch/minion_listing.h"
+#include "lavenderarch/dispatch/run_ledger.h"
+
+#include <functional>
+
+namespace lavenderarch::testing {
+
+/// One minion. Times are of the world; the minion's clock starts with its life.
+class PlayedMinion
+{
+public:
+    struct Active
+    {
+        int run = 0;
+        BootTime endsAt{};
+        RunOutcome outcome = RunOutcome::Done;
+    };
+    /// Called when a run starts or ends here.
+    std::function<void(const RunKey &)> onStart;
+    std::function<void(const RunKey &, RunOutcome)> onEnd;
+    std::function<void(const RunKey &, RunOutcome)> onNoted;
+
+    MinionFacts facts;
+    bool up = true;
+
+    void begin(const std::string &id, BootTime now)
+    {
+        facts.life = {id, now.time_since_epoch().count()};
+        m_born = now;
+        m_active.clear();
+        m_ends.clear();
+        m_highest.clear();
+        m_nextEnd = 1;
+        m_lapsedEnds = 0;
+        m_fence = 0;
+        m_leaseUntil = now;
+        up = true;
+    }
+
+    std::int64_t clockMs(BootTime now) const { return (now - m_born).count(); }
+    const std::map<std::string, Active> &active() const { return m_active; }
+
+    /// Ends what is due; everything when the lease has lapsed.
+    void advance(BootTime now)
+    {
+        if (!up)
+            return;
+        // An end is taken note of only if the lease held from then on.
+        if (m_leaseUntil <= now)
+            m_lapsedEnds = m_nextEnd;
+        std::vector<std::pair<std::string, RunOutcome>> ended;
+        for (const auto &[task, run] : m_active) {
+            if (run.endsAt <= now)
+                ended.emplace_back(task, run.outcome);
+            else if (m_leaseUntil <= now)
+                ended.emplace_back(task, RunOutcome::Lapsed);
+        }
+        for (const auto &[task, outcome] : ended)
+            end(task, outcome);
+    }
+
+    void crash()
+    {
+        up = false;
+        for (const auto &[task, run] : m_active)
+            onEnd({task, run.run}, RunOutcome::Lapsed);
+        m_active.clear();
+    }
+
+    /// False when the fence refuses the order.
+    bool start(const RunKey &run, std::int64_t fence, std::int64_t untilMs, Milliseconds length,
+               RunOutcome outcome, BootTime now)
+    {
+        if (!up || fence < m_fence)
+            return false;
+        m_fence = fence;
+        extend(untilMs);
+        if (m_leaseUntil <= now || m_highest[run.task] >= run.number)
+            return true;
+        const auto known = m_active.find(run.task);
+        if (known != m_active.end())
+            return true;
+        m_active[run.task] = {run.number, now + length, outcome};
+        onStart(run);
+        return true;
+    }
+
+    bool stop(const RunKey &run, std::int64_t fence)
+    {
+        if (!up || fence < m_fence)
+            return false;
+        m_fence = fence;
+        const auto known = m_active.find(run.task);
+        if (known != m_active.end() && known->second.run <= run.number)
+            end(run.task, RunOutcome::Stopped);
+        m_highest[run.task] = std::max(m_highest[run.task], run.number);
+        return true;
+    }
+
+    std::optional<MinionListing> renew(std::optional<RunLedger::Lease> lease, std::int64_t fence,
+                                       std::int64_t endsSeen, BootTime now)
+    {
+        if (!up || fence < m_fence)
+            return std::nullopt;
+        m_fence = fence;
+        if (lease)
+            extend(lease->untilMinionMs);
+        while (!m_ends.empty() && m_ends.front().number <= endsSeen) {
+            if (m_ends.front().number >= m_lapsedEnds)
+                onNoted(m_ends.front().run, m_ends.front().outcome);
+            m_ends.erase(m_ends.begin());
+        }
+        MinionListing listing;
+        listing.clockMs = clockMs(now);
+        listing.bornMs = facts.life.bornMs;
+        for (const auto &[task, run] : m_active)
+            listing.active.push_back({{task, run.run}, "", 50, 0});
+        listing.ends = m_ends;
+        return listing;
+    }
+
+private:
+    void extend(std::int64_t untilMs)
+    {
+        m_leaseUntil = std::max(m_leaseUntil, m_born + Milliseconds(untilMs));
+    }
+
+    void end(const std::string &task, RunOutcome outcome)
+    {
+        const RunKey run{task, m_active.at(task).run};
+        m_active.erase(task);
+        m_highest[task] = std::max(m_highest[task], run.number);
+        m_ends.push_back({m_nextEnd++, run, outcome, "", ""});
+        onEnd(run, outcome);
+    }
+
+    BootTime m_born{};
+    BootTime m_leaseUntil{};
+    std::int64_t m_fence = 0;
+    std::int64_t m_nextEnd = 1;
+    std::int64_t m_lapsedEnds = 0; // the lease lapsed after all ends below this number
+    std::map<std::string, Active> m_active; // by task
+    std::map<std::string, int> m_highest;   // highest run ended or stopped, by task
+    std::vector<RunEnd> m_ends;             // not yet noted
+};
+
+} // namespace lavenderarch::testing
--- a/src/libdispatch/run_ledger.cpp
+++ b/src/libdispatch/run_ledger.cpp
@@ -24,7 +24,7 @@
     m_ends.clear();
     m_absent.clear();
     m_endsSeen = 0;
-    m_clockMs = 0;
+    m_clockAt = {};
     m_sentLease = {};
     m_listedEpoch = -1;
     m_reachable = false;
@@ -118,6 +118,7 @@
 {
     if (listing.bornMs != 0 && listing.bornMs != m_facts.life.bornMs)
         return;
+    m_news = m_news || !m_reachable;
     m_reachable = true;
     m_clockMs = listing.clockMs;
     m_clockAt = now;
@@ -161,6 +162,7 @@
 
 void RunLedger::renewalFailed(BootTime now)
 {
+    m_news = m_news || m_reachable;
     m_reachable = false;
     const auto drift = (m_sentLease.until - m_clockAt) * driftPercent / 100;
     if (m_runs.empty() || now <= m_sentLease.until + drift + lapseMargin)
@@ -202,7 +204,7 @@
 
 std::optional<RunLedger::Lease> RunLedger::lease(BootTime now) const
 {
-    if (now >= m_grantUntil || m_clockMs == 0)
+    if (now >= m_grantUntil || m_clockAt == BootTime{})
         return std::nullopt;
     if (!m_reachable && m_sentLease.untilMinionMs > 0)
         return m_sentLease;
