--- a/src/include/lavenderarch/runtime/agent_loop.h
+++ b/src/include/lavenderarch/runtime/agent_loop.h
@@ -105,6 +105,8 @@
         while (!stop.stop_requested()) {
             if (!exchange(pollWaitMs, pollSlack))
                 findOwner();
+            else if (!registered())
+                std::this_thread::sleep_for(lookupPause);
         }
     }
 
@@ -155,6 +157,12 @@
         return true;
     }
 
+    bool registered()
+    {
+        const std::scoped_lock lock(m_mutex);
+        return m_ledger.registered();
+    }
+
     void findOwner()
     {
         const auto row = m_store.readOne(cells::ownerRowKey(m_cell), BootClock::now() + lookupTime);
--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -105,9 +105,10 @@
 
 bool CellDispatcher::takeFacts(MinionView &view, const ExchangeRequest &request, BootTime now)
 {
-    if (view.registered && request.facts.life.bornMs < view.facts.life.bornMs)
+    if (request.facts.life.bornMs < view.facts.life.bornMs)
         return false;
-    if (view.registered && view.facts.life != request.facts.life) {
+    const bool firstFacts = view.facts.life.id.empty();
+    if (!firstFacts && view.facts.life != request.facts.life) {
         loseRuns(view, "the minion began a new life", now);
         view.ends.clear();
         view.endsSeen = 0;
--- a/src/libdispatch/dispatch_test.cpp
+++ b/src/libdispatch/dispatch_test.cpp
@@ -7,7 +7,17 @@
 
 namespace {
 
-constexpr int seeds = 12;
+/// Seeds 1 to 12, or by hand LAVENDER_SEEDS=FIRST-LAST.
+std::pair<std::uint64_t, std::uint64_t> seedRange()
+{
+    std::pair<std::uint64_t, std::uint64_t> range{1, 12};
+    if (const char *text = std::getenv("LAVENDER_SEEDS")) {
+        char *dash = nullptr;
+        range.first = std::strtoull(text, &dash, 10);
+        range.second = *dash == '-' ? std::strtoull(dash + 1, nullptr, 10) : range.first;
+    }
+    return range;
+}
 
 StepSpec plainStep(int count, std::int64_t milliCores)
 {
@@ -39,7 +49,8 @@
 /// Plays jobs under faults, then some calm time, after which all jobs have to be done.
 void playUnder(const CellFaults &faults, bool cancels = false)
 {
-    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    const auto [first, last] = seedRange();
+    for (std::uint64_t seed = first; seed <= last; ++seed) {
         CAPTURE(seed);
         PlayedCell cell(seed, 5, faults);
         for (int job = 0; job < 12; ++job) {
@@ -98,6 +109,10 @@
 {
     playUnder({.cancel = 60}, true);
 }
+TEST_CASE("cancelled jobs while agents start anew")
+{
+    playUnder({.agentRestart = 60, .cancel = 30}, true);
+}
 TEST_CASE("all faults together")
 {
     playUnder({.ownerCrash = 500,
--- a/src/libdispatch/played_cell.h
+++ b/src/libdispatch/played_cell.h
@@ -102,6 +102,7 @@
         std::deque<RunOrder> orders;
         BootTime cutUntil{};
         BootTime nextPoll{};
+        BootTime nextCheckIn{};
         BootTime nextRenewal{};
         BootTime backAt{}; // a crashed minion begins a new life
         std::int64_t sequence = 0;
@@ -136,6 +137,7 @@
         Agent *self = agent.get();
         minion.onStart = [this, self](const RunKey &run) { checkStart(*self, run); };
         minion.onEnd = [this](const RunKey &run, RunOutcome outcome) {
+            traceRun("minion ends", run);
             m_running.erase(run);
             if (outcome == RunOutcome::Done)
                 m_done.insert(run.task);
@@ -196,6 +198,7 @@
     void playFaults()
     {
         if (m_owner && drawn(m_faults.ownerCrash)) {
+            traceRun("owner crashes", {});
             m_owner.reset();
             m_takeOverAt = m_now + takeOverAfter;
         }
@@ -206,16 +209,19 @@
                 agent->ledger =
                     std::make_unique<RunLedger>(agent->name, "s" + std::to_string(++m_sessions));
                 agent->orders.clear();
+                traceRun("agent restarts", {agent->name, 0});
             }
             if (drawn(m_faults.agentCut))
                 agent->cutUntil = m_now + between(3000, 12'000);
             if (agent->minion.up && drawn(m_faults.minionCrash)) {
+                traceRun("minion crashes", {agent->name, 0});
                 agent->minion.crash();
                 agent->backAt = m_now + between(500, 9000);
             }
             if (!agent->minion.up && m_now >= agent->backAt) {
                 agent->minion.begin(agent->minion.facts.life.id, m_now);
                 agent->sequence = 0;
+                agent->nextCheckIn = m_now;
             }
         }
         if (drawn(m_faults.cancel) && !m_specs.empty()) {
@@ -228,8 +234,10 @@
     void playAgent(Agent &agent)
     {
         agent.minion.advance(m_now);
-        if (agent.minion.up)
+        if (agent.minion.up && agent.nextCheckIn <= m_now) {
+            agent.nextCheckIn = m_now + Milliseconds(1100);
             agent.ledger->takeFacts(agent.minion.facts, ++agent.sequence);
+        }
         if (m_owner && agent.cutUntil <= m_now &&
             (agent.nextPoll <= m_now || agent.ledger->hasNews() ||
              m_owner->hasOrders(agent.name))) {
@@ -313,7 +321,8 @@
         for (const auto &event : m_owner->takeEvents()) {
             if (!trace)
                 continue;
-            std::string line = std::to_string(m_now.time_since_epoch().count()) + " " + event.message;
+            std::string line =
+                std::to_string(m_now.time_since_epoch().count()) + " " + event.message;
             for (const auto &[name, value] : event.fields)
                 line += " " + name + "=" + value;
             std::cerr << line << "\n";
@@ -322,9 +331,17 @@
 
     // What must always hold.
 
+    void traceRun(const char *what, const RunKey &run) const
+    {
+        if (trace)
+            std::cerr << m_now.time_since_epoch().count() << " " << what << " " << run.task
+                      << " run=" << run.number << "\n";
+    }
+
     void checkStart(Agent &agent, const RunKey &run)
     {
         ++m_starts;
+        traceRun("minion starts", run);
         const auto name = TaskName::parse(run.task);
         REQUIRE(name);
         const JobSpec &spec = m_specs.at(name->job);
--- a/src/libdispatch/played_minion.h
+++ b/src/libdispatch/played_minion.h
@@ -80,7 +80,7 @@
             return false;
         m_fence = fence;
         extend(untilMs);
-        if (m_leaseUntil <= now || m_highest[run.task] >= run.number)
+        if (untilMs <= clockMs(now) || m_highest[run.task] >= run.number)
             return true;
         const auto known = m_active.find(run.task);
         if (known != m_active.end())
@@ -143,7 +143,7 @@
     BootTime m_leaseUntil{};
     std::int64_t m_fence = 0;
     std::int64_t m_nextEnd = 1;
-    std::int64_t m_lapsedEnds = 0; // the lease lapsed after all ends below this number
+    std::int64_t m_lapsedEnds = 0;          // the lease lapsed after all ends below this number
     std::map<std::string, Active> m_active; // by task
     std::map<std::string, int> m_highest;   // highest run ended or stopped, by task
     std::vector<RunEnd> m_ends;             // not yet noted
--- a/src/libdispatch/run_ledger.cpp
+++ b/src/libdispatch/run_ledger.cpp
@@ -87,9 +87,11 @@
     for (const RunOrder &order : reply.orders) {
         if (order.sequence <= m_orderSeen)
             continue;
-        m_orderSeen = order.sequence;
+        // Orders for another life stay unconfirmed: the owner drops them once it hears of ours,
+        // and repeats them until the minion has registered at a process that began anew.
         if (!sameLife)
-            continue;
+            break;
+        m_orderSeen = order.sequence;
         if (order.kind == OrderKind::Start) {
             if (!m_registered || m_facts.draining || now >= m_grantUntil) {
                 addAbsent(order.run, m_facts.draining ? "the minion drains" : "no lease");
