Placement: learned suspicion of filling images; slowed fills move to a better minion

Cause: fills beside serving tasks were paced down as a whole (mean run 4.9 s instead of 2.7 s), although only some pairs of images interfere. An owner that cannot renew sends its agents away (they had stayed 4 s with an owner that was cut off).

--- a/src/include/lavenderarch/core/boot_clock.h
+++ b/src/include/lavenderarch/core/boot_clock.h
@@ -14,7 +14,7 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<BootClock, duration>;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming)
 
     static time_point now()
     {
--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -8,6 +8,7 @@
 #include "lavenderarch/dispatch/exchange_request.h"
 #include "lavenderarch/dispatch/job_model.h"
 #include "lavenderarch/dispatch/minion_view.h"
+#include "lavenderarch/dispatch/tail_suspicion.h"
 #include "lavenderarch/storage/row.h"
 
 #include <memory>
@@ -76,6 +77,8 @@
     void takeEnds(MinionView &view, const ExchangeRequest &request, BootTime now);
     void takeEnd(MinionView &view, const RunEnd &end, BootTime now);
     void takeRuns(MinionView &view, const ExchangeRequest &request, BootTime now);
+    void learnTails(MinionView &view, const ExchangeRequest &request, BootTime now);
+    void moveSlowed(MinionView &view, BootTime now);
     void findMissing(MinionView &view, const ExchangeRequest &request);
     void loseRuns(MinionView &view, const std::string &reason, BootTime now);
     void finishRun(JobModel &job, TaskState &task, const RunEnd &end, BootTime now);
@@ -115,6 +118,7 @@
     std::map<std::string, BootTime> m_endedAt; // settled jobs
     std::vector<std::string> m_forget;         // jobs whose rows are to be deleted
     std::optional<std::vector<Staged>> m_inFlight;
+    TailSuspicion m_suspicion;
     std::vector<DispatchEvent> m_events;
     bool m_placementDue = true; // something changed that may let a task be placed
 };
--- a/src/include/lavenderarch/dispatch/minion_view.h
+++ b/src/include/lavenderarch/dispatch/minion_view.h
@@ -34,7 +34,9 @@
 
     Resources used;             ///< demand of `runs` that counts against capacity
     std::int64_t fillCores = 0; ///< thousandths of a core that filling tasks here would use
-    int serving = 0;            ///< tasks with a tail target
+    std::map<RunKey, std::string> servingImages; ///< images of the runs with a tail target
+    std::map<RunKey, std::string> fillImages;    ///< images of the runs that fill
+    BootTime nextLook{};                         ///< when the tails are looked at again
 
     std::map<std::string, BootTime> failedJobs; ///< jobs that lately failed here
     BootTime avoidUntil{};
--- a/src/include/lavenderarch/dispatch/run_ledger.h
+++ b/src/include/lavenderarch/dispatch/run_ledger.h
@@ -30,6 +30,7 @@
         bool described = true;
         bool fills = false;
         std::int64_t tailTargetMs = 0;
+        int harmPercent = 0;
         int progressPercent = 0;
         int pacePercent = 100;
         double load = 0;
--- a/src/include/lavenderarch/dispatch/run_order.h
+++ b/src/include/lavenderarch/dispatch/run_order.h
@@ -26,10 +26,11 @@
     std::string ticket;     ///< of the placement advice
     bool fills = false;
     std::int64_t tailTargetMs = 0;
+    int harmPercent = 0; ///< how likely a filling task raises the tails of its neighbours
 
     friend bool operator==(const RunOrder &, const RunOrder &) = default;
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(RunOrder, sequence, kind, run, payload, checkpoint,
-                                                ticket, fills, tailTargetMs)
+                                                ticket, fills, tailTargetMs, harmPercent)
 };
 
 } // namespace lavenderarch
--- a/src/include/lavenderarch/dispatch/run_report.h
+++ b/src/include/lavenderarch/dispatch/run_report.h
@@ -13,6 +13,7 @@
     int pacePercent = 100;
     std::string checkpoint;   ///< newest saved progress, empty if none
     bool starting = false;    ///< ordered, but not yet seen in the minion's list
+    int load = 0;             ///< of a serving task its tail latency in ms
     bool undescribed = false; ///< the agent does not know whether the run fills or serves
 
     friend bool operator==(const RunReport &, const RunReport &) = default;
@@ -20,7 +21,7 @@
     {
         out = Json::array({report.run.task, report.run.number, report.progressPercent,
                            report.pacePercent, report.checkpoint, report.starting,
-                           report.undescribed});
+                           report.undescribed, report.load});
     }
     friend void from_json(const Json &in, RunReport &report)
     {
@@ -30,6 +31,7 @@
         report.checkpoint = in.at(4).get<std::string>();
         report.starting = in.at(5).get<bool>();
         report.undescribed = in.at(6).get<bool>();
+        report.load = in.at(7).get<int>();
     }
 };
 
--- a/src/include/lavenderarch/dispatch/task_state.h
+++ b/src/include/lavenderarch/dispatch/task_state.h
@@ -32,6 +32,9 @@
     int progressPercent = 0;
     BootTime progressAt{}; ///< when progress was last seen to change
     BootTime placedAt{};
+    int pacePercent = 100;
+    BootTime slowedAt{}; ///< since when the pace is low; unset: it is not
+    int moves = 0;       ///< times it was stopped for a better place
 
     bool active() const { return phase == TaskPhase::Placed || phase == TaskPhase::Stopping; }
 };
--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -79,7 +79,8 @@
     {
         const BootTime arrived = BootClock::now();
         std::unique_lock lock(m_mutex);
-        if (m_dispatcher == nullptr || request.epoch > m_dispatcher->epoch())
+        // An owner that cannot renew sends its agents away: another may have taken over.
+        if (m_dispatcher == nullptr || request.epoch > m_dispatcher->epoch() || !mayAct())
             return notOwner();
         const std::int64_t epoch = m_dispatcher->epoch();
         m_dispatcher->take(request, arrived, mayAct());
--- a/src/include/lavenderarch/runtime/job_acceptor.h
+++ b/src/include/lavenderarch/runtime/job_acceptor.h
@@ -148,11 +148,11 @@
             std::this_thread::sleep_for(acceptancePause);
     }
 
-    void finish(const RequestPtr &request, Status result)
+    void finish(const RequestPtr &request, const Status &result)
     {
         {
             const std::scoped_lock lock(m_mutex);
-            request->result = std::move(result);
+            request->result = result;
         }
         m_answered.notify_all();
     }
--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -14,6 +14,15 @@
 /// A run whose progress has not moved for this long stands still. Agents report every second.
 constexpr Milliseconds stalledAfter{3000};
 constexpr Milliseconds fillStalledAfter{6000};
+/// Tails cover half a second: a change shows in full only after that.
+constexpr Milliseconds tailInterval{450};
+constexpr Milliseconds tailSettles{700};
+constexpr int fairPace = 50;
+/// A filling run below this pace for so long is moved, if that loses little work.
+constexpr int slowPace = 40;
+constexpr Milliseconds moveAfter{1200};
+constexpr int mostMoves = 3;
+constexpr int littleProgress = 15;
 /// Failures of this many jobs without a success between them make a minion suspect.
 constexpr std::size_t suspectJobs = 2;
 constexpr Milliseconds failureMemory{6000};
@@ -221,6 +230,11 @@
             task->progressPercent = report.progressPercent;
             task->progressAt = now;
         }
+        task->pacePercent = report.pacePercent;
+        if (report.pacePercent >= slowPace)
+            task->slowedAt = {};
+        else if (task->slowedAt == BootTime{})
+            task->slowedAt = now;
         if (!report.checkpoint.empty())
             task->checkpoint = report.checkpoint;
         if (report.undescribed) {
@@ -231,13 +245,69 @@
             order.run = report.run;
             order.fills = step.fills;
             order.tailTargetMs = step.tailTargetMs;
+            order.harmPercent = static_cast<int>(100 * harmOfFill(view, step.image, m_suspicion));
             std::int64_t sequence = 0;
             send(view, std::move(order), sequence);
         }
     }
+    learnTails(view, request, now);
     findMissing(view, request);
 }
 
+void CellDispatcher::learnTails(MinionView &view, const ExchangeRequest &request, BootTime now)
+{
+    if (now < view.nextLook || view.servingImages.empty())
+        return;
+    view.nextLook = now + tailInterval;
+    std::vector<std::string> filling;
+    for (const auto &[run, image] : view.fillImages) {
+        const auto [job, task] = locate(run.task);
+        if (task == nullptr)
+            continue;
+        const bool settled = task->placedAt + tailSettles <= now;
+        if (task->pacePercent >= fairPace && settled)
+            filling.push_back(image);
+        else if (task->pacePercent > 0)
+            return; // a figure of a change that is under way says little
+    }
+    std::sort(filling.begin(), filling.end());
+    filling.erase(std::unique(filling.begin(), filling.end()), filling.end());
+    for (const RunReport &report : request.runs) {
+        const auto image = view.servingImages.find(report.run);
+        const auto [job, task] = locate(report.run.task);
+        if (image == view.servingImages.end() || task == nullptr || report.progressPercent < 100)
+            continue;
+        const auto &step =
+            job->spec().steps[static_cast<std::size_t>(TaskName::parse(report.run.task)->step)];
+        m_suspicion.observe(image->second, filling,
+                            report.load / static_cast<double>(step.tailTargetMs));
+    }
+}
+
+void CellDispatcher::moveSlowed(MinionView &view, BootTime now)
+{
+    for (const auto &[run, image] : view.fillImages) {
+        const auto [job, task] = locate(run.task);
+        if (task == nullptr || task->phase != TaskPhase::Placed || task->startOrder < 0 ||
+            task->slowedAt == BootTime{} || now - task->slowedAt < moveAfter ||
+            task->moves >= mostMoves)
+            continue;
+        const auto &step =
+            job->spec().steps[static_cast<std::size_t>(TaskName::parse(run.task)->step)];
+        if (!step.checkpointing && task->progressPercent > littleProgress)
+            continue;
+        note("filling run is slowed; stopping it for a better place",
+             {{"task", run.task},
+              {"agent", view.agent},
+              {"pace", numberText(task->pacePercent)},
+              {"percent", numberText(task->progressPercent)}});
+        ++task->moves;
+        task->phase = TaskPhase::Stopping;
+        task->failedAgent = view.agent;
+        orderStop(view, run, task->stopOrder);
+    }
+}
+
 void CellDispatcher::findMissing(MinionView &view, const ExchangeRequest &request)
 {
     std::set<RunKey> reported;
@@ -348,8 +418,10 @@
         }
         std::erase_if(view.failedJobs,
                       [&](const auto &entry) { return now - entry.second > failureMemory; });
-        if (isFresh(view, now))
-            findStalled(view, now);
+        if (!isFresh(view, now))
+            continue;
+        findStalled(view, now);
+        moveSlowed(view, now);
     }
     for (auto &[id, job] : m_jobs) {
         if (job.spec().occurrences > 0 && !isFinal(job.phase()) &&
--- a/src/libdispatch/cell_dispatcher_placement.cpp
+++ b/src/libdispatch/cell_dispatcher_placement.cpp
@@ -32,7 +32,10 @@
         return;
     view.used = view.used + counted(step);
     view.fillCores += step.fills ? step.demand.milliCores() : 0;
-    view.serving += step.tailTargetMs > 0 ? 1 : 0;
+    if (step.tailTargetMs > 0)
+        view.servingImages.emplace(run, step.image);
+    if (step.fills)
+        view.fillImages.emplace(run, step.image);
 }
 
 void CellDispatcher::detach(MinionView &view, const StepSpec &step, const RunKey &run)
@@ -41,7 +44,8 @@
         return;
     view.used = view.used - counted(step);
     view.fillCores -= step.fills ? step.demand.milliCores() : 0;
-    view.serving -= step.tailTargetMs > 0 ? 1 : 0;
+    view.servingImages.erase(run);
+    view.fillImages.erase(run);
 }
 
 void CellDispatcher::placeWaiting(BootTime now)
@@ -142,8 +146,8 @@
                                    const TaskState &task, BootTime now)
 {
     const auto sameStep = minionsOf(job.occurrences().at(occurrence)[step]);
-    const PlacementRequest request{&job.spec(), &job.spec().steps[step], &task, &sameStep,
-                                   &m_closedDataCentres};
+    const PlacementRequest request{&job.spec(), &job.spec().steps[step], &task,
+                                   &sameStep,   &m_closedDataCentres,    &m_suspicion};
     MinionView *best = nullptr;
     double bestScore = 0;
     for (auto &[agent, view] : m_minions) {
@@ -171,6 +175,8 @@
     task.progressPercent = 0;
     task.placedAt = now;
     task.progressAt = now;
+    task.pacePercent = 100;
+    task.slowedAt = {};
     RunOrder order;
     order.kind = OrderKind::Start;
     order.run = {name.text(), task.run};
@@ -178,6 +184,7 @@
     order.checkpoint = task.checkpoint;
     order.fills = step.fills;
     order.tailTargetMs = step.tailTargetMs;
+    order.harmPercent = static_cast<int>(100 * harmOfFill(view, step.image, m_suspicion));
     attach(view, step, order.run);
     note("run placed", {{"task", order.run.task},
                         {"run", std::to_string(task.run)},
--- a/src/libdispatch/job_spec.cpp
+++ b/src/libdispatch/job_spec.cpp
@@ -35,7 +35,7 @@
         return makeError(ErrorKind::InvalidRequest, "steps must not be empty");
     int tasks = 0;
     for (std::size_t number = 0; number < job.steps.size(); ++number) {
-        const Status valid = validateStep(job.steps[number], number);
+        Status valid = validateStep(job.steps[number], number);
         if (!valid.ok())
             return valid;
         tasks += job.steps[number].count;
--- a/src/libdispatch/pace_controller.cpp
+++ b/src/libdispatch/pace_controller.cpp
@@ -14,6 +14,8 @@
 /// Steps of the pace, in percent; below the least step a fill stands still.
 constexpr int speedUpStep = 20;
 constexpr int leastPace = 10;
+/// Only fills at least this close to the most harmful one that still works are slowed.
+constexpr double suspectShare = 0.7;
 
 double worstTailShare(const std::map<RunKey, RunLedger::LocalRun> &runs)
 {
@@ -25,6 +27,17 @@
     return worst;
 }
 
+/// Of the filling tasks that still work.
+int worstActiveHarm(const std::map<RunKey, RunLedger::LocalRun> &runs)
+{
+    int worst = 0;
+    for (const auto &[run, local] : runs) {
+        if (local.fills && local.listed && local.pacePercent > 0)
+            worst = std::max(worst, local.harmPercent);
+    }
+    return worst;
+}
+
 int nextPace(int pace, double tailShare)
 {
     if (tailShare > slowDownAbove) {
@@ -39,10 +52,13 @@
 std::vector<PaceChange> decidePaces(const std::map<RunKey, RunLedger::LocalRun> &runs)
 {
     const double tailShare = worstTailShare(runs);
+    const double suspect = suspectShare * worstActiveHarm(runs);
     std::vector<PaceChange> changes;
     for (const auto &[run, local] : runs) {
         if (!local.fills || !local.listed)
             continue;
+        if (tailShare > slowDownAbove && local.harmPercent < suspect)
+            continue;
         const int pace = nextPace(local.pacePercent, tailShare);
         if (pace != local.pacePercent)
             changes.push_back({run, pace});
--- a/src/libdispatch/placement.cpp
+++ b/src/libdispatch/placement.cpp
@@ -8,7 +8,9 @@
 
 /// Weights of the score, in units of an idle minion's whole capacity.
 constexpr double rackWeight = 4;           // off the data's rack a task takes longer
-constexpr double fillBesideServing = 0.8;  // filling tasks raise the tail of serving ones
+constexpr double fillBesideServing = 0.1;  // even harmless fills may come to do harm
+constexpr double harmWeight = 1.6;         // and times the likeliness that they do now
+constexpr double harmToServe = 0.3;        // per fill that a serving task would find
 constexpr double serveBesideServing = 1;   // serving tasks share minions, to leave others to fills
 constexpr double packWeight = 1;           // and fill the fullest of these first
 constexpr double plainBesideServing = 0.5; // plain tasks do not disturb serving ones
@@ -60,6 +62,14 @@
     return (taken(view) + counted(*request.step)).fitsInto(facts.capacity);
 }
 
+double harmOfFill(const MinionView &view, const std::string &image, const TailSuspicion &suspicion)
+{
+    double worst = 0;
+    for (const auto &[run, serving] : view.servingImages)
+        worst = std::max(worst, suspicion.suspicion(image, serving));
+    return worst;
+}
+
 double placementScore(const MinionView &view, const PlacementRequest &request, BootTime now)
 {
     const Resources &capacity = view.facts.capacity;
@@ -69,15 +79,18 @@
     double score = 0;
     if (step.fills) {
         score = share(unused - view.fillCores, capacity.milliCores());
-        score -= view.serving > 0 ? fillBesideServing : 0;
+        if (!view.servingImages.empty())
+            score -=
+                fillBesideServing + harmWeight * harmOfFill(view, step.image, *request.suspicion);
     } else if (step.tailTargetMs > 0) {
         score = packWeight * (1 - share(unused, capacity.milliCores()));
-        score += view.serving > 0 ? serveBesideServing : 0;
-        score -= share(view.fillCores, capacity.milliCores());
+        score += view.servingImages.empty() ? 0 : serveBesideServing;
+        for (const auto &[run, image] : view.fillImages)
+            score -= harmToServe * request.suspicion->suspicion(image, step.image);
     } else {
         const double memory = share(capacity.memoryMib() - used.memoryMib(), capacity.memoryMib());
         score = std::min(share(unused, capacity.milliCores()), memory);
-        score += view.serving > 0 ? plainBesideServing : 0;
+        score += view.servingImages.empty() ? 0 : plainBesideServing;
         score -= share(view.fillCores, capacity.milliCores());
     }
     if (!step.preferredRack.empty() && hasLabel(view, step.preferredRack))
--- a/src/libdispatch/placement.h
+++ b/src/libdispatch/placement.h
@@ -3,6 +3,7 @@
 
 #include "lavenderarch/dispatch/job_spec.h"
 #include "lavenderarch/dispatch/minion_view.h"
+#include "lavenderarch/dispatch/tail_suspicion.h"
 #include "lavenderarch/dispatch/task_state.h"
 
 #include <optional>
@@ -21,6 +22,7 @@
     /// Tasks of the step and occurrence that a minion already has, by agent.
     const std::map<std::string, int> *sameStep = nullptr;
     const std::set<std::string> *closedDataCentres = nullptr;
+    const TailSuspicion *suspicion = nullptr;
 };
 
 /// What `step` takes of a minion's capacity: filling tasks use only processors left over.
@@ -29,6 +31,9 @@
 /// True when the minion may be given the task now.
 bool isEligible(const MinionView &view, const PlacementRequest &request, BootTime now);
 
+/// How likely a task of `image` that fills takes one of the minion's serving tasks over its target.
+double harmOfFill(const MinionView &view, const std::string &image, const TailSuspicion &suspicion);
+
 /// Higher is better; only for eligible minions.
 double placementScore(const MinionView &view, const PlacementRequest &request, BootTime now);
 
--- a/src/libdispatch/run_ledger.cpp
+++ b/src/libdispatch/run_ledger.cpp
@@ -101,6 +101,7 @@
             run.since = now;
             run.fills = order.fills;
             run.tailTargetMs = order.tailTargetMs;
+            run.harmPercent = order.harmPercent;
             m_runs.insert_or_assign(order.run, run);
         } else if (order.kind == OrderKind::Stop) {
             m_runs.try_emplace(order.run).first->second.stopWanted = true;
@@ -108,6 +109,7 @@
             run->second.described = true;
             run->second.fills = order.fills;
             run->second.tailTargetMs = order.tailTargetMs;
+            run->second.harmPercent = order.harmPercent;
         }
         if (order.kind != OrderKind::Describe)
             accepted.push_back(order);
@@ -230,9 +232,11 @@
     request.listed = m_listedEpoch == m_epoch;
     request.reachable = m_reachable;
     request.facts = m_facts;
-    for (const auto &[run, local] : m_runs)
+    for (const auto &[run, local] : m_runs) {
+        const int tailMs = local.tailTargetMs > 0 ? static_cast<int>(local.load) : 0;
         request.runs.push_back({run, local.progressPercent, local.pacePercent, local.checkpoint,
-                                local.phase == Phase::Starting, !local.described});
+                                local.phase == Phase::Starting, tailMs, !local.described});
+    }
     for (const auto &[number, end] : m_ends)
         request.ends.push_back(end);
     for (const auto &[run, end] : m_absent)
