--- a/src/include/lavenderarch/dispatch/cell_commit.h
+++ b/src/include/lavenderarch/dispatch/cell_commit.h
@@ -1,4 +1,4 @@
-// What the owner of a cell wants stored in one transaction.
+// What the owner of a cell wants stored.
 #pragma once
 
 #include "lavenderarch/storage/row_write.h"
@@ -11,6 +11,7 @@
 struct CellCommit
 {
     std::vector<RowWrite> writes;
+    std::vector<RowWrite> inboxRemovals; ///< in the inbox partition, once the rest is stored
 
     friend bool operator==(const CellCommit &, const CellCommit &) = default;
 };
--- a/src/include/lavenderarch/dispatch/cell_tables.h
+++ b/src/include/lavenderarch/dispatch/cell_tables.h
@@ -15,13 +15,19 @@
 /// Rows of jobTable whose key starts so ask for a job's cancellation.
 inline constexpr const char *cancelPrefix = "cancel/";
 
+/// Partition of what entries write: the owner's commits never wait behind acceptances.
+std::string inbox(const std::string &cell);
+
 RowKey jobKey(const std::string &cell, const std::string &job);
 RowKey cancelKey(const std::string &cell, const std::string &job);
+/// State at acceptance, written by an entry; the owner's later states are under stateKey.
+RowKey queuedKey(const std::string &cell, const std::string &job);
 RowKey stateKey(const std::string &cell, const std::string &job);
 RowKey progressKey(const std::string &cell, const std::string &job);
 RowKey ownerRowKey(const std::string &cell);
 
 RowWrite jobWrite(const std::string &cell, const JobSpec &job);
+RowWrite queuedWrite(const std::string &cell, const JobSpec &job);
 RowWrite stateWrite(const std::string &cell, const JobSpec &job, JobPhase phase);
 RowWrite removal(RowKey key);
 
--- a/src/include/lavenderarch/dispatch/ownership_watch.h
+++ b/src/include/lavenderarch/dispatch/ownership_watch.h
@@ -20,6 +20,10 @@
 class OwnershipWatch
 {
 public:
+    /// `process` names this lifetime of the process, as VM-TEXT: an owner of the same VM with
+    /// another text is a former lifetime, which has certainly ended.
+    explicit OwnershipWatch(std::string process);
+
     /// Takes the row as read; `version` 0 when there is none. Returns true when this process
     /// should try to take the cell over.
     bool observe(const OwnerRecord &record, std::int64_t version, BootTime sentAt, BootTime now);
@@ -27,6 +31,9 @@
     void readFailed();
 
 private:
+    bool isFormerSelf(const OwnerRecord &record) const;
+
+    std::string m_process;
     std::int64_t m_version = -1; // as last read; -1 before the first read
     BootTime m_since{};          // start of uninterrupted reading of that version
     int m_reads = 0;             // reads of that version
--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -8,6 +8,7 @@
 #include "lavenderarch/dispatch/ownership_watch.h"
 #include "lavenderarch/dispatch/queue_catalog.h"
 #include "lavenderarch/runtime/row_follower.h"
+#include "lavenderarch/runtime/try_timeout.h"
 #include "lavenderarch/telemetry/metrics.h"
 
 #include <condition_variable>
@@ -15,8 +16,8 @@
 
 namespace lavenderarch {
 
-/// One try of a commit; a healthy store answers in 10 to 40 ms.
-inline constexpr Milliseconds commitTry{800};
+/// Time for a read or a write at a change of ownership.
+inline constexpr Milliseconds ownershipTry{800};
 inline constexpr Milliseconds commitPause{40};
 /// Time between two looks at leases, stalled runs and due occurrences.
 inline constexpr Milliseconds tickInterval{250};
@@ -53,7 +54,7 @@
         std::unique_lock lock(m_mutex);
         m_releasing = true;
         m_work.notify_all();
-        m_changed.wait_for(lock, commitTry * 2, [&] { return m_dispatcher == nullptr; });
+        m_changed.wait_for(lock, ownershipTry * 2, [&] { return m_dispatcher == nullptr; });
     }
 
     void setCatalog(std::shared_ptr<const QueueCatalog> catalog)
@@ -134,7 +135,7 @@
 
     void run(const std::stop_token &stop)
     {
-        OwnershipWatch watch;
+        OwnershipWatch watch(m_owner);
         while (!stop.stop_requested()) {
             if (!m_releasing && claimable(watch) && claim())
                 own(stop);
@@ -146,7 +147,7 @@
     bool claimable(OwnershipWatch &watch)
     {
         const BootTime sentAt = BootClock::now();
-        const auto row = m_store.readOne(cells::ownerRowKey(m_cell), sentAt + commitTry);
+        const auto row = m_store.readOne(cells::ownerRowKey(m_cell), sentAt + ownershipTry);
         if (!row.ok()) {
             watch.readFailed();
             return false;
@@ -171,7 +172,7 @@
         const OwnerRecord former = m_record;
         m_record = {m_owner, m_address, former.epoch + 1, 0, "", false};
         const BootTime sentAt = BootClock::now();
-        if (!commitFenced({}, sentAt + commitTry * 2))
+        if (!commitFenced({}, sentAt + ownershipTry * 2))
             return false;
         logEvent(LogLevel::Info, "cell", "cell taken over",
                  {{"cell", m_cell},
@@ -186,14 +187,14 @@
     void own(const std::stop_token &stop)
     {
         const BootTime deadline = BootClock::now() + loadTime;
-        const auto jobs = m_store.read(cells::jobTable, m_cell, deadline);
+        const auto jobs = m_store.read(cells::jobTable, cells::inbox(m_cell), deadline);
         const auto progress =
             jobs.ok() ? m_store.read(cells::progressTable, m_cell, deadline) : jobs;
         if (!progress.ok()) {
             logFailure("cell", "cell could not be read; giving it up", progress.status(),
                        {{"cell", m_cell}});
             m_record.released = true;
-            commitFenced({}, BootClock::now() + commitTry);
+            commitFenced({}, BootClock::now() + ownershipTry);
             return;
         }
         {
@@ -223,7 +224,8 @@
             first.reset();
             return version;
         }
-        const auto rows = m_store.read(cells::jobTable, m_cell, BootClock::now() + loadTime);
+        const auto rows =
+            m_store.read(cells::jobTable, cells::inbox(m_cell), BootClock::now() + loadTime);
         if (!rows.ok())
             return rows.status();
         for (const Row &row : rows->rows)
@@ -233,7 +235,7 @@
 
     void applyJobRow(const Row &row)
     {
-        if (row.key.partition != m_cell)
+        if (row.key.partition != cells::inbox(m_cell))
             return;
         const std::scoped_lock lock(m_mutex);
         if (m_dispatcher == nullptr)
@@ -271,9 +273,11 @@
             }
             if (!store(stop, commit ? *commit : CellCommit{}))
                 return;
+            if (commit && !commit->inboxRemovals.empty())
+                clearInbox(*commit);
         }
         m_record.released = true;
-        const bool released = commitFenced({}, BootClock::now() + commitTry);
+        const bool released = commitFenced({}, BootClock::now() + ownershipTry);
         logEvent(LogLevel::Info, "cell", "cell released",
                  {{"cell", m_cell}, {"confirmed", released ? "yes" : "no"}});
     }
@@ -284,7 +288,7 @@
         const BootTime started = BootClock::now();
         bool lost = false;
         bool waited = false;
-        while (!commitFenced(commit.writes, BootClock::now() + commitTry, &lost)) {
+        while (!commitFenced(commit.writes, BootClock::now() + m_tryTimeout.current(), &lost)) {
             if (lost || stop.stop_requested() || m_releasing) {
                 logEvent(LogLevel::Warning, "cell", "cell is lost to another owner, or left",
                          {{"cell", m_cell}, {"epoch", std::to_string(m_record.epoch)}});
@@ -305,6 +309,16 @@
         return true;
     }
 
+    /// Deletes what entries wrote of jobs that are forgotten. What fails stays, and is deleted by a
+    /// later owner, which finds these jobs ended.
+    void clearInbox(const CellCommit &commit)
+    {
+        const RowTransaction change{{}, commit.inboxRemovals};
+        const auto done = m_store.commit(change, BootClock::now() + ownershipTry);
+        if (!done.ok())
+            logFailure("cell", "rows of forgotten jobs stay", done.status(), {{"cell", m_cell}});
+    }
+
     /// One try to write `writes` together with the owner row. A try that got no answer is
     /// recognised by its mark when it is repeated. `lost` is set when another owner has written.
     bool commitFenced(const std::vector<RowWrite> &writes, BootTime deadline, bool *lost = nullptr)
@@ -322,9 +336,12 @@
         const BootTime sentAt = BootClock::now();
         const auto commit = m_store.commit(change, deadline);
         if (!commit.ok()) {
+            if (kindOf(commit.status()) == ErrorKind::OutcomeUnknown)
+                m_tryTimeout.missed();
             m_metrics.increment("lavender_commit_failures");
             return false;
         }
+        m_tryTimeout.answered(BootClock::now() - sentAt);
         if (!commit->committed && !isOurs(*commit, next)) {
             m_pendingMark.clear();
             if (lost != nullptr)
@@ -367,7 +384,8 @@
     const DispatchLimits m_limits;
     OwnerRecord m_record;       // as last written or read; only on the thread
     std::int64_t m_version = 0; // of the owner row; only on the thread
-    std::string m_pendingMark;  // of a write whose outcome is not known; only on the thread
+    TryTimeout m_tryTimeout;
+    std::string m_pendingMark; // of a write whose outcome is not known; only on the thread
 
     mutable std::mutex m_mutex;
     std::condition_variable m_work;    // wakes the thread
--- a/src/include/lavenderarch/runtime/job_acceptor.h
+++ b/src/include/lavenderarch/runtime/job_acceptor.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "lavenderarch/dispatch/cell_tables.h"
+#include "lavenderarch/runtime/try_timeout.h"
 #include "lavenderarch/storage/row_store.h"
 #include "lavenderarch/telemetry/log.h"
 
@@ -17,8 +18,6 @@
 inline constexpr std::size_t maxJobsPerAcceptance = 20;
 /// Transactions in flight from one entry.
 inline constexpr int acceptanceThreads = 3;
-/// One try of a transaction; a healthy store answers in 10 to 40 ms.
-inline constexpr Milliseconds acceptanceTry{700};
 inline constexpr Milliseconds acceptancePause{60};
 
 /// Thread-safe. accept() blocks until the job is stored, known to be stored already, or given up.
@@ -99,11 +98,15 @@
                 const JobSpec &job = request->job;
                 change.conditions.push_back({cells::jobKey(job.service, job.id), 0});
                 change.writes.push_back(cells::jobWrite(job.service, job));
-                change.writes.push_back(cells::stateWrite(job.service, job, JobPhase::Queued));
+                change.writes.push_back(cells::queuedWrite(job.service, job));
             }
-            const BootTime deadline =
-                std::min(batch.front()->deadline, BootClock::now() + acceptanceTry);
-            const auto commit = m_store.commit(change, deadline);
+            const BootTime sentAt = BootClock::now();
+            const auto commit = m_store.commit(
+                change, std::min(batch.front()->deadline, sentAt + m_tryTimeout.current()));
+            if (commit.ok())
+                m_tryTimeout.answered(BootClock::now() - sentAt);
+            else if (kindOf(commit.status()) == ErrorKind::OutcomeUnknown)
+                m_tryTimeout.missed();
             if (commit.ok() && commit->committed) {
                 for (const RequestPtr &request : batch)
                     finish(request, absl::OkStatus());
@@ -158,6 +161,7 @@
     }
 
     Store &m_store;
+    TryTimeout m_tryTimeout;
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::condition_variable m_answered;
--- a/src/include/lavenderarch/runtime/job_front.h
+++ b/src/include/lavenderarch/runtime/job_front.h
@@ -6,6 +6,9 @@
 
 namespace lavenderarch {
 
+/// One try to store a cancellation.
+inline constexpr Milliseconds cancelTry{500};
+
 /// Thread-safe. All state is in the store; JobStates is a copy that follows it.
 template <RowStore Store>
 class JobFront
@@ -31,7 +34,10 @@
     {
         if (const auto known = m_states.find(job))
             return known->phase;
-        const auto row = m_store.readOne(cells::stateKey(cell, job), deadline);
+        // The owner's row goes before the one written at acceptance.
+        auto row = m_store.readOne(cells::stateKey(cell, job), deadline);
+        if (row.ok() && row->version == 0)
+            row = m_store.readOne(cells::queuedKey(cell, job), deadline);
         if (!row.ok())
             return row.status();
         if (row->version == 0)
@@ -55,7 +61,7 @@
         bool maybeStored = false;
         while (true) {
             const auto commit =
-                m_store.commit(change, std::min(deadline, BootClock::now() + acceptanceTry));
+                m_store.commit(change, std::min(deadline, BootClock::now() + cancelTry));
             if (commit.ok())
                 return absl::OkStatus();
             maybeStored = maybeStored || kindOf(commit.status()) != ErrorKind::StoreUnavailable;
--- a/src/libdispatch/cell_dispatcher.cpp
+++ b/src/libdispatch/cell_dispatcher.cpp
@@ -206,8 +206,9 @@
     m_dirty.erase(m_dirty.begin(), m_dirty.begin() + static_cast<std::ptrdiff_t>(taken));
     if (taken == 0) {
         for (const std::string &id : m_forget) {
-            commit.writes.push_back(cells::removal(cells::jobKey(m_cell, id)));
-            commit.writes.push_back(cells::removal(cells::cancelKey(m_cell, id)));
+            commit.inboxRemovals.push_back(cells::removal(cells::jobKey(m_cell, id)));
+            commit.inboxRemovals.push_back(cells::removal(cells::cancelKey(m_cell, id)));
+            commit.inboxRemovals.push_back(cells::removal(cells::queuedKey(m_cell, id)));
             commit.writes.push_back(cells::removal(cells::stateKey(m_cell, id)));
             commit.writes.push_back(cells::removal(cells::progressKey(m_cell, id)));
         }
--- a/src/libdispatch/cell_tables.cpp
+++ b/src/libdispatch/cell_tables.cpp
@@ -5,14 +5,24 @@
 
 namespace lavenderarch::cells {
 
+std::string inbox(const std::string &cell)
+{
+    return cell + "-in";
+}
+
 RowKey jobKey(const std::string &cell, const std::string &job)
 {
-    return {jobTable, cell, job};
+    return {jobTable, inbox(cell), job};
 }
 
 RowKey cancelKey(const std::string &cell, const std::string &job)
 {
-    return {jobTable, cell, cancelPrefix + job};
+    return {jobTable, inbox(cell), cancelPrefix + job};
+}
+
+RowKey queuedKey(const std::string &cell, const std::string &job)
+{
+    return {stateTable, inbox(cell), job};
 }
 
 RowKey stateKey(const std::string &cell, const std::string &job)
@@ -35,6 +45,12 @@
     return {jobKey(cell, job.id), Json(job).dump(), false};
 }
 
+RowWrite queuedWrite(const std::string &cell, const JobSpec &job)
+{
+    const JobStateRow row{job.queue, JobPhase::Queued, job.occurrences > 0};
+    return {queuedKey(cell, job.id), Json(row).dump(), false};
+}
+
 RowWrite stateWrite(const std::string &cell, const JobSpec &job, JobPhase phase)
 {
     const JobStateRow row{job.queue, phase, job.occurrences > 0};
--- a/src/libdispatch/dispatch_test.cpp
+++ b/src/libdispatch/dispatch_test.cpp
@@ -1,4 +1,5 @@
 // Tests of the dispatcher and the agent's ledger, alone and as a whole cell under seeded faults.
+#include "lavenderarch/dispatch/pace_controller.h"
 #include "played_cell.h"
 
 using namespace lavenderarch;
@@ -258,7 +259,7 @@
 
 TEST_CASE("takeover waits for an owner that is silent, not for a store that is")
 {
-    OwnershipWatch watch;
+    OwnershipWatch watch("vm-2-aaaa");
     const OwnerRecord record{"o", "1.2.3.4:5", 3, 9, "x", false};
     BootTime now(Milliseconds(10'000));
     const auto read = [&](std::int64_t version, int stepMs) {
@@ -278,5 +279,60 @@
     OwnerRecord released = record;
     released.released = true;
     CHECK(watch.observe(released, 9, now, now + Milliseconds(5)));
-    CHECK(OwnershipWatch().observe({}, 0, now, now + Milliseconds(5)));
+    CHECK(OwnershipWatch("vm-2-aaaa").observe({}, 0, now, now + Milliseconds(5)));
+    OwnerRecord former = record;
+    former.owner = "vm-2-bbbb";
+    CHECK(OwnershipWatch("vm-2-aaaa").observe(former, 9, now, now + Milliseconds(5)));
+    former.owner = "vm-2-3-bbbb";
+    CHECK_FALSE(OwnershipWatch("vm-2-aaaa").observe(former, 9, now, now + Milliseconds(5)));
+}
+
+TEST_CASE("suspicion falls on the image that is always there when a tail is over its target")
+{
+    TailSuspicion model;
+    for (int look = 0; look < 20; ++look) {
+        model.observe("serve", {"calm", "loud"}, 2.0);
+        model.observe("serve", {"calm"}, 0.4);
+        model.observe("serve", {}, 0.4);
+    }
+    CHECK(model.suspicion("loud", "serve") > 0.6);
+    CHECK(model.suspicion("calm", "serve") < model.suspicion("loud", "serve") / 2);
+    for (int look = 0; look < 60; ++look)
+        model.observe("serve", {"loud"}, 0.3);
+    CHECK(model.suspicion("loud", "serve") < 0.1);
+}
+
+TEST_CASE("a serving task's own load is not blamed on what fills beside it")
+{
+    TailSuspicion model;
+    for (int look = 0; look < 60; ++look) {
+        model.observe("busy", {}, 1.5);
+        model.observe("busy", {"calm"}, look % 2 == 0 ? 1.5 : 0.5);
+    }
+    CHECK(model.suspicion("calm", "busy") < 0.3);
+}
+
+TEST_CASE("paces fall on the most suspect fills and come back")
+{
+    std::map<RunKey, RunLedger::LocalRun> runs;
+    auto &serving = runs[{"s.0.0.0", 1}];
+    serving.listed = true;
+    serving.tailTargetMs = 10;
+    serving.load = 30;
+    for (const auto &[task, harm] : {std::pair{"a.0.0.0", 80}, {"b.0.0.0", 10}}) {
+        auto &fill = runs[{task, 1}];
+        fill.listed = true;
+        fill.fills = true;
+        fill.harmPercent = harm;
+    }
+    const auto slowed = decidePaces(runs);
+    REQUIRE(slowed.size() == 1);
+    CHECK(slowed[0].run.task == "a.0.0.0");
+    CHECK(slowed[0].percent < 50);
+    runs[{"a.0.0.0", 1}].pacePercent = 0;
+    const auto next = decidePaces(runs);
+    REQUIRE(next.size() == 1);
+    CHECK(next[0].run.task == "b.0.0.0");
+    serving.load = 1;
+    CHECK(decidePaces(runs).at(0).percent > 0);
 }
--- a/src/libdispatch/ownership_watch.cpp
+++ b/src/libdispatch/ownership_watch.cpp
@@ -15,6 +15,18 @@
 
 } // namespace
 
+OwnershipWatch::OwnershipWatch(std::string process)
+    : m_process(std::move(process))
+{
+}
+
+bool OwnershipWatch::isFormerSelf(const OwnerRecord &record) const
+{
+    const std::string vm = m_process.substr(0, m_process.rfind('-') + 1);
+    return record.owner != m_process && record.owner.rfind(vm, 0) == 0 &&
+           record.owner.find('-', vm.size()) == std::string::npos;
+}
+
 bool OwnershipWatch::observe(const OwnerRecord &record, std::int64_t version, BootTime sentAt,
                              BootTime now)
 {
@@ -26,7 +38,7 @@
     }
     ++m_reads;
     const Milliseconds delay = m_fastestRead > nearStore ? farDelay : Milliseconds(0);
-    if (version == 0 || record.released)
+    if (version == 0 || record.released || isFormerSelf(record))
         return now - m_since >= delay;
     return m_reads >= leastReads && sentAt - m_since >= takeOverAfter + delay;
 }
--- a/src/libdispatch/played_cell.h
+++ b/src/libdispatch/played_cell.h
@@ -52,7 +52,7 @@
         job.queue = "q";
         job.acceptedMs = m_now.time_since_epoch().count();
         m_specs[job.id] = job;
-        apply({cells::jobWrite("svc", job), cells::stateWrite("svc", job, JobPhase::Queued)});
+        apply({cells::jobWrite("svc", job), cells::queuedWrite("svc", job)});
         if (m_owner)
             m_owner->applyJobRow(m_rows.at(cells::jobKey("svc", job.id)), m_now);
     }
@@ -75,7 +75,9 @@
 
     JobPhase phase(const std::string &id) const
     {
-        const Row &row = m_rows.at(cells::stateKey("svc", id));
+        const auto owned = m_rows.find(cells::stateKey("svc", id));
+        const Row &row =
+            owned != m_rows.end() ? owned->second : m_rows.at(cells::queuedKey("svc", id));
         return Json::parse(row.value).at("phase").get<JobPhase>();
     }
     std::size_t activeRuns() const
@@ -315,6 +317,7 @@
         if (const auto commit = m_owner->prepareCommit(m_now)) {
             // A commit whose answer is lost takes effect, and the owner learns of it later.
             apply(commit->writes);
+            apply(commit->inboxRemovals);
             m_commitAt = m_now + (drawn(m_faults.lostCommit) ? between(100, 1500) : stepTime);
             checkShown(*commit);
         }
