HARM: fills stand still once a serving task is over its target for 1.2 s; stored interference model

Change: all fills of the minion stop after 1.2 s over target, and none is placed beside one that is over; the model of interference is stored with the cell, so that a new owner need not learn it again; entries accept what they see in the rows they follow, and refuse within 150 ms what is proven unwritten.

--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -33,6 +33,8 @@
     void load(const std::vector<Row> &jobs, const std::vector<Row> &progress, BootTime now);
     /// Takes a new or changed row of the job table.
     void applyJobRow(const Row &row, BootTime now);
+    /// The model of interference that a former owner stored.
+    void loadModel(const std::string &text);
     void setCatalog(std::shared_ptr<const QueueCatalog> catalog);
     void setClosedDataCentres(std::set<std::string> dataCentres);
 
@@ -119,6 +121,8 @@
     std::vector<std::string> m_forget;         // jobs whose rows are to be deleted
     std::optional<std::vector<Staged>> m_inFlight;
     TailSuspicion m_suspicion;
+    std::int64_t m_storedLooks = 0; // of the model as stored
+    BootTime m_nextModel{};         // when the model is stored again
     std::vector<DispatchEvent> m_events;
     bool m_placementDue = true; // something changed that may let a task be placed
 };
--- a/src/include/lavenderarch/dispatch/minion_view.h
+++ b/src/include/lavenderarch/dispatch/minion_view.h
@@ -36,6 +36,7 @@
     std::int64_t fillCores = 0; ///< thousandths of a core that filling tasks here would use
     std::map<RunKey, std::string> servingImages; ///< images of the runs with a tail target
     std::map<RunKey, std::string> fillImages;    ///< images of the runs that fill
+    bool tailsHigh = false;                      ///< some serving run is over its target
     BootTime nextLook{};                         ///< when the tails are looked at again
 
     std::map<std::string, BootTime> failedJobs; ///< jobs that lately failed here
--- a/src/include/lavenderarch/dispatch/pace_controller.h
+++ b/src/include/lavenderarch/dispatch/pace_controller.h
@@ -15,6 +15,7 @@
 };
 
 /// Paces to set, given the runs of one minion with their newest load figures.
-std::vector<PaceChange> decidePaces(const std::map<RunKey, RunLedger::LocalRun> &runs);
+std::vector<PaceChange> decidePaces(const std::map<RunKey, RunLedger::LocalRun> &runs,
+                                    BootTime now);
 
 } // namespace lavenderarch
--- a/src/include/lavenderarch/dispatch/run_ledger.h
+++ b/src/include/lavenderarch/dispatch/run_ledger.h
@@ -34,6 +34,7 @@
         int progressPercent = 0;
         int pacePercent = 100;
         double load = 0;
+        BootTime overSince{}; ///< since when a serving run's tail is near or over its target
         std::string checkpoint;
     };
     /// The lease as the minion is to be told it.
--- a/src/include/lavenderarch/dispatch/tail_suspicion.h
+++ b/src/include/lavenderarch/dispatch/tail_suspicion.h
@@ -1,6 +1,7 @@
 // Learns which images, while they fill, raise the tail latency of which serving images.
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <utility>
@@ -22,9 +23,16 @@
     /// Probability, 0 to 1, that `filling` alone takes `serving` over its target.
     double suspicion(const std::string &filling, const std::string &serving) const;
 
+    /// The model as text, and back; an unreadable text leaves it as it is (false).
+    std::string text() const;
+    bool load(const std::string &text);
+    /// Counts the looks learned from.
+    std::int64_t looks() const { return m_looks; }
+
 private:
     using Pair = std::pair<std::string, std::string>; // filling, serving
 
+    std::int64_t m_looks = 0;
     std::map<Pair, double> m_suspicion;
     std::map<std::string, double> m_own; ///< share of looks over the target with no fill beside
 };
--- a/src/include/lavenderarch/runtime/agent_loop.h
+++ b/src/include/lavenderarch/runtime/agent_loop.h
@@ -236,7 +236,7 @@
             if (listing.ok()) {
                 m_ledger.takeListing(*listing, context.epoch, sentAt, BootClock::now());
                 if (BootClock::now() >= m_nextPace) {
-                    paces = decidePaces(m_ledger.runs());
+                    paces = decidePaces(m_ledger.runs(), BootClock::now());
                     m_nextPace = BootClock::now() + paceInterval;
                 }
             } else {
--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -190,6 +190,8 @@
         const auto jobs = m_store.read(cells::jobTable, cells::inbox(m_cell), deadline);
         const auto progress =
             jobs.ok() ? m_store.read(cells::progressTable, m_cell, deadline) : jobs;
+        const auto model =
+            m_store.readOne({cells::modelTable, m_cell, cells::suspicionKey}, deadline);
         if (!progress.ok()) {
             logFailure("cell", "cell could not be read; giving it up", progress.status(),
                        {{"cell", m_cell}});
@@ -201,6 +203,8 @@
             const std::scoped_lock lock(m_mutex);
             m_dispatcher = std::make_unique<CellDispatcher>(m_cell, m_limits, m_record.epoch);
             m_dispatcher->load(jobs->rows, progress->rows, BootClock::now());
+            if (model.ok() && model->version != 0)
+                m_dispatcher->loadModel(model->value);
             m_dispatcher->setCatalog(m_catalog);
             m_dispatcher->setClosedDataCentres(m_closed);
         }
--- a/src/include/lavenderarch/runtime/job_acceptor.h
+++ b/src/include/lavenderarch/runtime/job_acceptor.h
@@ -8,6 +8,7 @@
 
 #include <condition_variable>
 #include <deque>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <thread>
@@ -19,6 +20,8 @@
 /// Transactions in flight from one entry.
 inline constexpr int acceptanceThreads = 3;
 inline constexpr Milliseconds acceptancePause{60};
+/// Tries of a job go on for so long while the store refuses them.
+inline constexpr Milliseconds refusalDelay{150};
 
 /// Thread-safe. accept() blocks until the job is stored, known to be stored already, or given up.
 template <RowStore Store>
@@ -40,6 +43,19 @@
     JobAcceptor(const JobAcceptor &) = delete;
     JobAcceptor &operator=(const JobAcceptor &) = delete;
 
+    /// The job was seen in the store: a waiting accept() of it may return.
+    void noticeStored(const std::string &job)
+    {
+        {
+            const std::scoped_lock lock(m_mutex);
+            const auto waiting = m_waiting.find(job);
+            if (waiting == m_waiting.end() || waiting->second->result)
+                return;
+            waiting->second->result = absl::OkStatus();
+        }
+        m_answered.notify_all();
+    }
+
     /// OK: the job is stored, now or before. StoreUnavailable: it is not, and never will be by
     /// this call. OutcomeUnknown: it may be stored, even later.
     Status accept(const JobSpec &job, BootTime deadline)
@@ -47,13 +63,18 @@
         auto request = std::make_shared<Request>();
         request->job = job;
         request->deadline = deadline;
+        request->refuseAt = BootClock::now() + refusalDelay;
         {
             const std::scoped_lock lock(m_mutex);
             m_queue.push_back(request);
+            m_waiting[job.id] = request;
         }
         m_changed.notify_one();
         std::unique_lock lock(m_mutex);
         m_answered.wait(lock, [&] { return request->result.has_value(); });
+        if (const auto waiting = m_waiting.find(job.id);
+            waiting != m_waiting.end() && waiting->second == request)
+            m_waiting.erase(waiting);
         return *request->result;
     }
 
@@ -62,6 +83,7 @@
     {
         JobSpec job;
         BootTime deadline{};
+        BootTime refuseAt{};          // when a proven failure is answered
         bool maybeStored = false;     // a try got no answer
         std::optional<Status> result; // guarded by m_mutex
     };
@@ -90,9 +112,18 @@
         }
     }
 
+    bool isAnswered(const RequestPtr &request)
+    {
+        const std::scoped_lock lock(m_mutex);
+        return request->result.has_value();
+    }
+
     void store(std::vector<RequestPtr> batch)
     {
-        while (!batch.empty()) {
+        while (true) {
+            std::erase_if(batch, [&](const RequestPtr &request) { return isAnswered(request); });
+            if (batch.empty())
+                return;
             RowTransaction change;
             for (const RequestPtr &request : batch) {
                 const JobSpec &job = request->job;
@@ -140,7 +171,9 @@
         const BootTime now = BootClock::now();
         std::erase_if(batch, [&](const RequestPtr &request) {
             request->maybeStored = request->maybeStored || unknown;
-            if (now + acceptancePause < request->deadline)
+            // A refusal that is proven goes out soon, so that the caller can go elsewhere.
+            const bool refused = !request->maybeStored && now >= request->refuseAt;
+            if (!refused && now + acceptancePause < request->deadline)
                 return false;
             finish(request, request->maybeStored ? makeError(ErrorKind::OutcomeUnknown,
                                                              "the store did not confirm the job")
@@ -155,7 +188,8 @@
     {
         {
             const std::scoped_lock lock(m_mutex);
-            request->result = result;
+            if (!request->result)
+                request->result = result;
         }
         m_answered.notify_all();
     }
@@ -165,8 +199,9 @@
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::condition_variable m_answered;
-    std::deque<RequestPtr> m_queue;      // guarded by m_mutex
-    std::vector<std::jthread> m_threads; // last: stop first
+    std::deque<RequestPtr> m_queue;              // guarded by m_mutex
+    std::map<std::string, RequestPtr> m_waiting; // by job; guarded by m_mutex
+    std::vector<std::jthread> m_threads;         // last: stop first
 };
 
 } // namespace lavenderarch
--- a/src/include/lavenderarch/runtime/job_front.h
+++ b/src/include/lavenderarch/runtime/job_front.h
@@ -29,6 +29,14 @@
         return m_acceptor.accept(job, deadline);
     }
 
+    /// Takes a state row that the store has.
+    void applyState(const Row &row)
+    {
+        m_states.apply(row);
+        if (!row.removed)
+            m_acceptor.noticeStored(row.key.key);
+    }
+
     /// NotFound when no such job was accepted; StoreUnavailable when that cannot be told now.
     StatusOr<JobPhase> phase(const std::string &cell, const std::string &job, BootTime deadline)
     {
--- a/src/libdispatch/cell_dispatcher.cpp
+++ b/src/libdispatch/cell_dispatcher.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t maxJobsPerCommit = 45;
 /// Bytes of one commit's rows: the store takes 1 MB with its encoding.
 constexpr std::size_t maxCommitBytes = 500'000;
+/// The model is stored along with other changes, at most this often.
+constexpr Milliseconds modelInterval{2000};
 /// Events kept for the log between two calls; more are dropped.
 constexpr std::size_t maxEvents = 400;
 /// Ended jobs whose rows one commit deletes: three rows each.
@@ -101,6 +103,12 @@
     }
 }
 
+void CellDispatcher::loadModel(const std::string &text)
+{
+    if (!m_suspicion.load(text))
+        note("stored model is unreadable; learning anew", {{"cell", m_cell}});
+}
+
 void CellDispatcher::addJob(const Row &row)
 {
     const auto parsed = parseJson(row.value, "job row " + row.key.key);
@@ -204,6 +212,12 @@
         }
     }
     m_dirty.erase(m_dirty.begin(), m_dirty.begin() + static_cast<std::ptrdiff_t>(taken));
+    if (m_suspicion.looks() != m_storedLooks && now >= m_nextModel) {
+        m_storedLooks = m_suspicion.looks();
+        m_nextModel = now + modelInterval;
+        commit.writes.push_back(
+            {{cells::modelTable, m_cell, cells::suspicionKey}, m_suspicion.text(), false});
+    }
     if (taken == 0) {
         for (const std::string &id : m_forget) {
             commit.inboxRemovals.push_back(cells::removal(cells::jobKey(m_cell, id)));
--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -256,6 +256,15 @@
 
 void CellDispatcher::learnTails(MinionView &view, const ExchangeRequest &request, BootTime now)
 {
+    view.tailsHigh = false;
+    for (const RunReport &report : request.runs) {
+        const auto [job, task] = locate(report.run.task);
+        if (task == nullptr || view.servingImages.count(report.run) == 0)
+            continue;
+        const auto &step =
+            job->spec().steps[static_cast<std::size_t>(TaskName::parse(report.run.task)->step)];
+        view.tailsHigh = view.tailsHigh || report.load > step.tailTargetMs;
+    }
     if (now < view.nextLook || view.servingImages.empty())
         return;
     view.nextLook = now + tailInterval;
--- a/src/libdispatch/dispatch_test.cpp
+++ b/src/libdispatch/dispatch_test.cpp
@@ -297,6 +297,11 @@
     }
     CHECK(model.suspicion("loud", "serve") > 0.6);
     CHECK(model.suspicion("calm", "serve") < model.suspicion("loud", "serve") / 2);
+    TailSuspicion read;
+    REQUIRE(read.load(model.text()));
+    CHECK(read.suspicion("loud", "serve") ==
+          doctest::Approx(model.suspicion("loud", "serve")).epsilon(0.01));
+    CHECK_FALSE(read.load("{}"));
     for (int look = 0; look < 60; ++look)
         model.observe("serve", {"loud"}, 0.3);
     CHECK(model.suspicion("loud", "serve") < 0.1);
@@ -314,6 +319,7 @@
 
 TEST_CASE("paces fall on the most suspect fills and come back")
 {
+    const BootTime now(Milliseconds(50'000));
     std::map<RunKey, RunLedger::LocalRun> runs;
     auto &serving = runs[{"s.0.0.0", 1}];
     serving.listed = true;
@@ -325,14 +331,51 @@
         fill.fills = true;
         fill.harmPercent = harm;
     }
-    const auto slowed = decidePaces(runs);
+    const auto slowed = decidePaces(runs, now);
     REQUIRE(slowed.size() == 1);
     CHECK(slowed[0].run.task == "a.0.0.0");
     CHECK(slowed[0].percent < 50);
     runs[{"a.0.0.0", 1}].pacePercent = 0;
-    const auto next = decidePaces(runs);
+    const auto next = decidePaces(runs, now);
     REQUIRE(next.size() == 1);
     CHECK(next[0].run.task == "b.0.0.0");
     serving.load = 1;
-    CHECK(decidePaces(runs).at(0).percent > 0);
+    CHECK(decidePaces(runs, now).at(0).percent > 0);
+}
+
+TEST_CASE("all fills stand still once a serving task is over its target for long")
+{
+    RunLedger ledger("agent", "s");
+    BootTime now(Milliseconds(50'000));
+    ledger.takeFacts({{"m", 1}, "svc", "dc", {}, Resources(1000, 1000, 0), false, 0}, 1);
+    ExchangeReply reply;
+    reply.epoch = 1;
+    reply.life = {"m", 1};
+    reply.grantMs = 5000;
+    const auto order = [](std::int64_t sequence, const std::string &task, std::int64_t target,
+                          int harm) {
+        RunOrder start;
+        start.sequence = sequence;
+        start.run = {task, 1};
+        start.fills = target == 0;
+        start.tailTargetMs = target;
+        start.harmPercent = harm;
+        return start;
+    };
+    reply.orders = {order(1, "serve.0.0.0", 10, 0), order(2, "loud.0.0.0", 0, 90),
+                    order(3, "calm.0.0.0", 0, 1)};
+    ledger.takeReply(reply, now, now);
+    MinionListing listing;
+    listing.bornMs = 1;
+    listing.active = {{{"serve.0.0.0", 1}, "", 100, 14},
+                      {{"loud.0.0.0", 1}, "", 10, 0},
+                      {{"calm.0.0.0", 1}, "", 10, 0}};
+    ledger.takeListing(listing, 1, now, now);
+    CHECK(decidePaces(ledger.runs(), now).size() == 1);
+    now += Milliseconds(1300);
+    ledger.takeListing(listing, 1, now, now);
+    const auto changes = decidePaces(ledger.runs(), now);
+    REQUIRE(changes.size() == 2);
+    CHECK(changes[0].percent == 0);
+    CHECK(changes[1].percent == 0);
 }
--- a/src/libdispatch/pace_controller.cpp
+++ b/src/libdispatch/pace_controller.cpp
@@ -14,6 +14,9 @@
 /// Steps of the pace, in percent; below the least step a fill stands still.
 constexpr int speedUpStep = 20;
 constexpr int leastPace = 10;
+/// All fills stand still once a serving task is over its target for so long: the platform allows
+/// 4 s, and a figure lags by half a second.
+constexpr Milliseconds stopFillsAfter{1200};
 /// Only fills at least this close to the most harmful one that still works are slowed.
 constexpr double suspectShare = 0.7;
 
@@ -27,6 +30,15 @@
     return worst;
 }
 
+bool isOverTooLong(const std::map<RunKey, RunLedger::LocalRun> &runs, BootTime now)
+{
+    return std::any_of(runs.begin(), runs.end(), [&](const auto &entry) {
+        const RunLedger::LocalRun &run = entry.second;
+        return run.tailTargetMs > 0 && run.listed && run.overSince != BootTime{} &&
+               now - run.overSince >= stopFillsAfter;
+    });
+}
+
 /// Of the filling tasks that still work.
 int worstActiveHarm(const std::map<RunKey, RunLedger::LocalRun> &runs)
 {
@@ -49,17 +61,18 @@
 
 } // namespace
 
-std::vector<PaceChange> decidePaces(const std::map<RunKey, RunLedger::LocalRun> &runs)
+std::vector<PaceChange> decidePaces(const std::map<RunKey, RunLedger::LocalRun> &runs, BootTime now)
 {
+    const bool tooLong = isOverTooLong(runs, now);
     const double tailShare = worstTailShare(runs);
     const double suspect = suspectShare * worstActiveHarm(runs);
     std::vector<PaceChange> changes;
     for (const auto &[run, local] : runs) {
         if (!local.fills || !local.listed)
             continue;
-        if (tailShare > slowDownAbove && local.harmPercent < suspect)
+        if (!tooLong && tailShare > slowDownAbove && local.harmPercent < suspect)
             continue;
-        const int pace = nextPace(local.pacePercent, tailShare);
+        const int pace = tooLong ? 0 : nextPace(local.pacePercent, tailShare);
         if (pace != local.pacePercent)
             changes.push_back({run, pace});
     }
--- a/src/libdispatch/placement.cpp
+++ b/src/libdispatch/placement.cpp
@@ -53,6 +53,8 @@
     if (facts.service != request.job->service ||
         request.closedDataCentres->count(facts.dataCentre) != 0)
         return false;
+    if (request.step->fills && view.tailsHigh)
+        return false;
     if (!request.step->requiredLabel.empty() && !hasLabel(view, request.step->requiredLabel))
         return false;
     const auto same = request.sameStep->find(view.agent);
--- a/src/libdispatch/run_ledger.cpp
+++ b/src/libdispatch/run_ledger.cpp
@@ -9,6 +9,8 @@
 /// A minion's clock may be slow by 2 %; in per cent of the lease.
 constexpr std::int64_t driftPercent = 2;
 constexpr Milliseconds lapseMargin{200};
+/// The tails in listings are rough: near the target counts as over it.
+constexpr double overShare = 0.9;
 
 } // namespace
 
@@ -138,6 +140,12 @@
         run.progressPercent = active.progressPercent;
         run.checkpoint = active.checkpoint;
         run.load = active.load;
+        const bool over =
+            run.tailTargetMs > 0 && run.load > overShare * static_cast<double>(run.tailTargetMs);
+        if (!over)
+            run.overSince = {};
+        else if (run.overSince == BootTime{})
+            run.overSince = now;
     }
     for (const RunEnd &end : listing.ends) {
         m_runs.erase(end.run);
--- a/src/libdispatch/tail_suspicion.cpp
+++ b/src/libdispatch/tail_suspicion.cpp
@@ -1,7 +1,10 @@
 // Online noisy-or model of interference with serving tasks.
 #include "lavenderarch/dispatch/tail_suspicion.h"
 
+#include "lavenderarch/core/json.h"
+
 #include <algorithm>
+#include <cmath>
 
 namespace lavenderarch {
 namespace {
@@ -26,12 +29,41 @@
     return known == m_suspicion.end() ? prior : known->second;
 }
 
+std::string TailSuspicion::text() const
+{
+    Json pairs = Json::array();
+    for (const auto &[pair, value] : m_suspicion)
+        pairs.push_back({pair.first, pair.second, std::lround(value * 1000)});
+    Json own = Json::object();
+    for (const auto &[serving, value] : m_own)
+        own[serving] = std::lround(value * 1000);
+    return Json{{"pairs", std::move(pairs)}, {"own", std::move(own)}}.dump();
+}
+
+bool TailSuspicion::load(const std::string &text)
+{
+    const auto stored = parseJson(text, "suspicion");
+    if (!stored.ok())
+        return false;
+    try {
+        for (const Json &pair : stored->at("pairs"))
+            m_suspicion[{pair.at(0).get<std::string>(), pair.at(1).get<std::string>()}] =
+                pair.at(2).get<double>() / 1000;
+        for (const auto &[serving, value] : stored->at("own").items())
+            m_own[serving] = value.get<double>() / 1000;
+    } catch (const Json::exception &) {
+        return false;
+    }
+    return true;
+}
+
 void TailSuspicion::observe(const std::string &serving, const std::vector<std::string> &filling,
                             double tailShare)
 {
     const bool above = tailShare > clearlyAbove;
     if (!above && tailShare > clearlyBelow)
         return;
+    ++m_looks;
     double &own = m_own[serving];
     if (filling.empty()) {
         own += ownRate * ((above ? 1 : 0) - own);
