Agents: orders wait until the minion has registered

Change: no order is confirmed before the minion has registered. Ruled out: the owner (its line 'job cancelled' stands 118 ms after the acknowledgement).

--- a/src/libdispatch/dispatch_test.cpp
+++ b/src/libdispatch/dispatch_test.cpp
@@ -114,6 +114,29 @@
 {
     playUnder({.agentRestart = 60, .cancel = 30}, true);
 }
+TEST_CASE("cancelled jobs while owners crash and agents start anew")
+{
+    playUnder({.ownerCrash = 150, .agentRestart = 60, .cancel = 20}, true);
+}
+TEST_CASE("a stop is kept for a minion that has not registered yet")
+{
+    RunLedger ledger("agent", "s");
+    const BootTime now(Milliseconds(50'000));
+    ExchangeReply reply;
+    reply.epoch = 2;
+    reply.grantMs = 5000;
+    RunOrder stop;
+    stop.sequence = 1;
+    stop.kind = OrderKind::Stop;
+    stop.run = {"a.0.0.0", 1};
+    reply.orders = {stop};
+    CHECK(ledger.takeReply(reply, now, now).empty());
+    CHECK(ledger.snapshot(0).orderSeen == 0);
+    ledger.takeFacts({{"m", 1}, "svc", "dc", {}, Resources(1000, 1000, 0), false, 0}, 1);
+    reply.life = {"m", 1};
+    CHECK(ledger.takeReply(reply, now, now).size() == 1);
+    CHECK(ledger.snapshot(0).orderSeen == 1);
+}
 TEST_CASE("all faults together")
 {
     playUnder({.ownerCrash = 500,
--- a/src/libdispatch/played_cell.h
+++ b/src/libdispatch/played_cell.h
@@ -211,6 +211,7 @@
                 agent->ledger =
                     std::make_unique<RunLedger>(agent->name, "s" + std::to_string(++m_sessions));
                 agent->orders.clear();
+                agent->nextCheckIn = m_now + between(100, 1100);
                 traceRun("agent restarts", {agent->name, 0});
             }
             if (drawn(m_faults.agentCut))
@@ -250,11 +251,9 @@
                  agent.ledger->takeReply(m_owner->reply(agent.name, true), sentAt, m_now))
                 agent.orders.push_back(std::move(order));
         }
-        while (!agent.orders.empty()) {
-            const RunOrder order = std::move(agent.orders.front());
-            agent.orders.pop_front();
+        // What cannot be carried out yet comes back and is tried in the next step.
+        for (const RunOrder &order : std::exchange(agent.orders, {}))
             carryOut(agent, order);
-        }
         if (agent.nextRenewal > m_now)
             return;
         agent.nextRenewal = m_now + Milliseconds(100);
@@ -272,8 +271,11 @@
     void carryOut(Agent &agent, const RunOrder &order)
     {
         const std::int64_t fence = agent.ledger->epoch();
+        const bool sameLife = agent.ledger->facts().life == agent.minion.facts.life;
         if (order.kind == OrderKind::Stop) {
-            if (agent.minion.stop(order.run, fence))
+            if (agent.ledger->runs().count(order.run) == 0)
+                return;
+            if (sameLife && agent.minion.stop(order.run, fence))
                 agent.ledger->stopConfirmed(order.run, m_now);
             else
                 agent.orders.push_back(order);
--- a/src/libdispatch/run_ledger.cpp
+++ b/src/libdispatch/run_ledger.cpp
@@ -91,11 +91,11 @@
             continue;
         // Orders for another life stay unconfirmed: the owner drops them once it hears of ours,
         // and repeats them until the minion has registered at a process that began anew.
-        if (!sameLife)
+        if (!sameLife || !m_registered)
             break;
         m_orderSeen = order.sequence;
         if (order.kind == OrderKind::Start) {
-            if (!m_registered || m_facts.draining || now >= m_grantUntil) {
+            if (m_facts.draining || now >= m_grantUntil) {
                 addAbsent(order.run, m_facts.draining ? "the minion drains" : "no lease");
                 continue;
             }
