--- a/src/include/lavenderarch/dispatch/run_key.h
+++ b/src/include/lavenderarch/dispatch/run_key.h
@@ -13,7 +13,8 @@
     std::string task;
     int number = 0;
 
-    friend auto operator<=>(const RunKey &, const RunKey &) = default; // NOLINT(modernize-use-nullptr)
+    friend auto operator<=>(const RunKey &,
+                            const RunKey &) = default; // NOLINT(modernize-use-nullptr)
     NLOHMANN_DEFINE_TYPE_INTRUSIVE(RunKey, task, number)
 };
 
--- a/src/include/lavenderarch/storage/row_key.h
+++ b/src/include/lavenderarch/storage/row_key.h
@@ -13,7 +13,8 @@
     std::string partition;
     std::string key;
 
-    friend auto operator<=>(const RowKey &, const RowKey &) = default; // NOLINT(modernize-use-nullptr)
+    friend auto operator<=>(const RowKey &,
+                            const RowKey &) = default; // NOLINT(modernize-use-nullptr)
 };
 
 } // namespace lavenderarch
