--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -131,7 +131,10 @@
     }
 
     /// Requires m_mutex. False when another process may have taken over.
-    bool mayAct() const { return BootClock::now() < m_renewedAt + ownerActsFor; }
+    bool mayAct() const
+    {
+        return !m_releasing && BootClock::now() < m_renewedAt + ownerActsFor;
+    }
 
     void run(const std::stop_token &stop)
     {
@@ -214,11 +217,12 @@
                 m_store, cells::jobTable, [this, version] { return reloadJobs(*version); },
                 [this](const Row &row) { applyJobRow(row); });
             serve(stop);
+            // Before the follower ends, which may take as long as one of its calls.
+            const std::scoped_lock lock(m_mutex);
+            m_dispatcher.reset();
+            wakeAgents(true);
+            m_changed.notify_all();
         }
-        const std::scoped_lock lock(m_mutex);
-        m_dispatcher.reset();
-        wakeAgents(true);
-        m_changed.notify_all();
     }
 
     StatusOr<std::int64_t> reloadJobs(std::optional<std::int64_t> &first)
--- /dev/null
+++ b/src/testing/memory_rows.h
@@ -0,0 +1,114 @@
+// A RowStore held in memory whose answers can be refused or lost.
+#pragma once
+
+#include "lavenderarch/storage/row_store.h"
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+
+namespace lavenderarch::testing {
+
+/// Thread-safe.
+class MemoryRows
+{
+public:
+    enum class Fault {
+        None,
+        Refuse, ///< nothing is done
+        Lose    ///< done, but not answered
+    };
+
+    void setFault(Fault fault)
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_fault = fault;
+    }
+    int commits() const
+    {
+        const std::scoped_lock lock(m_mutex);
+        return m_commits;
+    }
+
+    StatusOr<RowCommit> commit(const RowTransaction &change, BootTime)
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (m_fault == Fault::Refuse)
+            return makeError(ErrorKind::StoreUnavailable, "refused");
+        RowCommit result;
+        result.committed = true;
+        for (const RowCondition &condition : change.conditions) {
+            const auto row = m_rows.find(condition.key);
+            const std::int64_t version = row == m_rows.end() ? 0 : row->second.version;
+            result.committed = result.committed && version == condition.version;
+            if (row != m_rows.end())
+                result.current.push_back(row->second);
+        }
+        if (result.committed) {
+            ++m_commits;
+            result.version = ++m_version;
+            result.current.clear();
+            for (const RowWrite &write : change.writes) {
+                m_changes.push_back({write.key, write.value, m_version, write.remove});
+                if (write.remove)
+                    m_rows.erase(write.key);
+                else
+                    m_rows[write.key] = m_changes.back();
+            }
+            m_changed.notify_all();
+        }
+        if (m_fault == Fault::Lose)
+            return makeError(ErrorKind::OutcomeUnknown, "the answer is lost");
+        return result;
+    }
+
+    StatusOr<RowRange> read(const std::string &table, const std::string &partition, BootTime)
+    {
+        const std::scoped_lock lock(m_mutex);
+        RowRange range;
+        range.version = m_version;
+        for (const auto &[key, row] : m_rows) {
+            if (key.table == table && key.partition == partition)
+                range.rows.push_back(row);
+        }
+        return range;
+    }
+
+    StatusOr<Row> readOne(const RowKey &key, BootTime)
+    {
+        const std::scoped_lock lock(m_mutex);
+        const auto row = m_rows.find(key);
+        return row == m_rows.end() ? Row{key, "", 0, false} : row->second;
+    }
+
+    StatusOr<RowRange> follow(const std::string &table, std::int64_t version, BootTime deadline)
+    {
+        std::unique_lock lock(m_mutex);
+        RowRange range;
+        while (true) {
+            range.rows.clear();
+            range.version = m_version;
+            for (const Row &row : m_changes) {
+                if (row.version > version && row.key.table == table)
+                    range.rows.push_back(row);
+            }
+            const BootTime now = BootClock::now();
+            if (!range.rows.empty() || now >= deadline)
+                return range;
+            m_changed.wait_for(lock, deadline - now);
+        }
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
+    Fault m_fault = Fault::None;
+    int m_commits = 0;
+    std::int64_t m_version = 0;
+    std::map<RowKey, Row> m_rows;
+    std::vector<Row> m_changes;
+};
+
+static_assert(RowStore<MemoryRows>);
+
+} // namespace lavenderarch::testing
