--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -48,6 +48,9 @@
     CellHost(const CellHost &) = delete;
     CellHost &operator=(const CellHost &) = delete;
 
+    /// Keeps the cell if it is owned, but does not take it over any more.
+    void stopClaiming() { m_claiming = false; }
+
     /// Hands the cell over: writes its row as released and takes no cell any more.
     void release()
     {
@@ -131,16 +134,13 @@
     }
 
     /// Requires m_mutex. False when another process may have taken over.
-    bool mayAct() const
-    {
-        return !m_releasing && BootClock::now() < m_renewedAt + ownerActsFor;
-    }
+    bool mayAct() const { return !m_releasing && BootClock::now() < m_renewedAt + ownerActsFor; }
 
     void run(const std::stop_token &stop)
     {
         OwnershipWatch watch(m_owner);
         while (!stop.stop_requested()) {
-            if (!m_releasing && claimable(watch) && claim())
+            if (!m_releasing && m_claiming && claimable(watch) && claim())
                 own(stop);
             std::unique_lock lock(m_mutex);
             m_work.wait_for(lock, watchInterval, [&] { return stop.stop_requested(); });
@@ -405,6 +405,7 @@
     std::set<std::string> m_closed;                // guarded by m_mutex
     BootTime m_renewedAt{}; // when the newest stored renewal was sent; guarded by m_mutex
     bool m_wake = false;    // guarded by m_mutex
+    std::atomic<bool> m_claiming{true};
     std::atomic<bool> m_releasing{false};
     std::jthread m_thread; // last: stops first
 };
--- a/src/libdispatch/played_cell.h
+++ b/src/libdispatch/played_cell.h
@@ -329,7 +329,7 @@
             std::string line =
                 std::to_string(m_now.time_since_epoch().count()) + " " + event.message;
             for (const auto &[name, value] : event.fields)
-                line += " " + name + "=" + value;
+                line.append(" ").append(name).append("=").append(value);
             std::cerr << line << "\n";
         }
     }
