Leases: an agent whose minion is silent gets none, so that runs of a lost minion move after one lease

Change: the owner grants, and counts a lease, only from messages that say that the minion answers. Test: runs of a minion that is gone are placed again after one lease, although its agent lives.

--- a/src/include/lavenderarch/dispatch/minion_view.h
+++ b/src/include/lavenderarch/dispatch/minion_view.h
@@ -20,7 +20,8 @@
     bool registered = false;
     bool reachable = false; ///< the agent's last call to the minion was answered
     MinionFacts facts;
-    BootTime lastHeard{}; ///< start of the newest lease that may be in force
+    BootTime lastHeard{}; ///< newest message of the agent
+    BootTime leaseFrom{}; ///< start of the newest lease that may be in force
 
     std::int64_t newestMessage = 0;
     std::int64_t nextOrder = 1;
--- a/src/libdispatch/cell_dispatcher.cpp
+++ b/src/libdispatch/cell_dispatcher.cpp
@@ -81,7 +81,7 @@
                         job.name(number, static_cast<int>(step), static_cast<int>(index));
                     MinionView &view = m_minions[task.agent];
                     view.agent = task.agent;
-                    view.lastHeard = now;
+                    view.leaseFrom = now;
                     task.placedAt = now;
                     task.progressAt = now;
                     attach(view, job.spec().steps[step], {name.text(), task.run});
--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -51,8 +51,10 @@
     if (request.number <= view.newestMessage)
         return;
     view.newestMessage = request.number;
-    if (mayGrant)
-        view.lastHeard = now;
+    view.lastHeard = now;
+    // An agent whose minion is silent gets no lease, see reply(): what the minion holds runs out.
+    if (mayGrant && request.reachable)
+        view.leaseFrom = now;
     const bool sameEpoch = request.epoch == m_epoch;
     while (sameEpoch && !view.outbox.empty() && view.outbox.front().sequence <= request.orderSeen)
         view.outbox.pop_front();
@@ -74,7 +76,7 @@
     MinionView &view = m_minions[agent];
     ExchangeReply reply;
     reply.epoch = m_epoch;
-    reply.grantMs = mayGrant ? m_limits.leaseMs : 0;
+    reply.grantMs = mayGrant && view.reachable ? m_limits.leaseMs : 0;
     reply.life = view.facts.life;
     if (!mayGrant)
         return reply;
@@ -419,9 +421,11 @@
     const auto lease =
         Milliseconds(static_cast<std::int64_t>(static_cast<double>(m_limits.leaseMs) * clockDrift));
     for (auto &[agent, view] : m_minions) {
-        if (!view.runs.empty() && now - view.lastHeard > lease + leaseMargin) {
+        if (!view.runs.empty() && now - view.leaseFrom > lease + leaseMargin) {
             note("lease of a silent minion has lapsed",
-                 {{"agent", agent}, {"silentMs", numberText((now - view.lastHeard).count())}});
+                 {{"agent", agent},
+                  {"leaseAgeMs", numberText((now - view.leaseFrom).count())},
+                  {"heardMsAgo", numberText((now - view.lastHeard).count())}});
             loseRuns(view, "the lease lapsed", now);
             view.registered = false;
         }
--- a/src/libdispatch/dispatch_test.cpp
+++ b/src/libdispatch/dispatch_test.cpp
@@ -137,6 +137,22 @@
     CHECK(ledger.takeReply(reply, now, now).size() == 1);
     CHECK(ledger.snapshot(0).orderSeen == 1);
 }
+TEST_CASE(
+    "runs of a minion that is gone are placed again after one lease, although its agent lives")
+{
+    PlayedCell cell(9, 3, {});
+    cell.submit(lasting("watch"));
+    cell.play(Milliseconds(1500));
+    const std::size_t before = cell.activeRuns();
+    std::size_t gone = 0;
+    while (cell.minion(gone).active().empty())
+        ++gone;
+    cell.vanish(gone);
+    CHECK(cell.activeRuns() < before);
+    // One lease of 5 s, its drift and margin, and a poll.
+    cell.play(Milliseconds(6500));
+    CHECK(cell.activeRuns() == before);
+}
 TEST_CASE("all faults together")
 {
     playUnder({.ownerCrash = 500,
--- a/src/libdispatch/played_cell.h
+++ b/src/libdispatch/played_cell.h
@@ -71,6 +71,14 @@
         for (const BootTime end = m_now + duration; m_now < end; m_now += stepTime)
             playStep();
     }
+    /// The minion ends without a word and does not come back; after 4.5 s its agent ends too.
+    void vanish(std::size_t index)
+    {
+        Agent &agent = *m_agents.at(index);
+        agent.minion.crash();
+        agent.backAt = m_now + Milliseconds(1'000'000);
+        agent.endsAt = m_now + Milliseconds(4500);
+    }
     void setFaults(CellFaults faults) { m_faults = faults; }
 
     JobPhase phase(const std::string &id) const
@@ -106,7 +114,8 @@
         BootTime nextPoll{};
         BootTime nextCheckIn{};
         BootTime nextRenewal{};
-        BootTime backAt{}; // a crashed minion begins a new life
+        std::optional<BootTime> endsAt; // of the agent's process, for good
+        BootTime backAt{};              // a crashed minion begins a new life
         std::int64_t sequence = 0;
     };
     struct Late
@@ -237,6 +246,8 @@
     void playAgent(Agent &agent)
     {
         agent.minion.advance(m_now);
+        if (agent.endsAt && *agent.endsAt <= m_now)
+            return;
         if (agent.minion.up && agent.nextCheckIn <= m_now) {
             agent.nextCheckIn = m_now + Milliseconds(1100);
             agent.ledger->takeFacts(agent.minion.facts, ++agent.sequence);
@@ -303,7 +314,11 @@
     bool startAt(Agent &agent, const RunOrder &order, std::int64_t fence, std::int64_t untilMs)
     {
         const bool fails = failing.count(order.run.task) != 0;
-        return agent.minion.start(order.run, fence, untilMs, between(200, 2500),
+        const auto name = TaskName::parse(order.run.task);
+        const bool lasts =
+            m_specs.at(name->job).steps[static_cast<std::size_t>(name->step)].longRunning;
+        return agent.minion.start(order.run, fence, untilMs,
+                                  lasts ? Milliseconds(1'000'000) : between(200, 2500),
                                   fails ? RunOutcome::Failed : RunOutcome::Done, m_now);
     }
 
