--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -35,6 +35,12 @@
     return now - view.lastHeard <= freshFor;
 }
 
+/// The step of the run's task, which is one of `job`.
+const StepSpec &stepOf(const JobModel &job, const RunKey &run)
+{
+    return job.spec().steps[static_cast<std::size_t>(TaskName::parse(run.task)->step)];
+}
+
 std::string numberText(std::int64_t number)
 {
     return std::to_string(number);
@@ -208,9 +214,7 @@
         const bool known = view.runs.count(report.run) != 0;
         if (!known) {
             if (task != nullptr)
-                view.extra[report.run] = counted(
-                    job->spec()
-                        .steps[static_cast<std::size_t>(TaskName::parse(report.run.task)->step)]);
+                view.extra[report.run] = counted(stepOf(*job, report.run));
             std::int64_t sequence = 0;
             const bool asked =
                 std::any_of(view.outbox.begin(), view.outbox.end(), [&](const RunOrder &order) {
@@ -240,8 +244,7 @@
         if (!report.checkpoint.empty())
             task->checkpoint = report.checkpoint;
         if (report.undescribed) {
-            const auto &step =
-                job->spec().steps[static_cast<std::size_t>(TaskName::parse(report.run.task)->step)];
+            const auto &step = stepOf(*job, report.run);
             RunOrder order;
             order.kind = OrderKind::Describe;
             order.run = report.run;
@@ -263,8 +266,7 @@
         const auto [job, task] = locate(report.run.task);
         if (task == nullptr || view.servingImages.count(report.run) == 0)
             continue;
-        const auto &step =
-            job->spec().steps[static_cast<std::size_t>(TaskName::parse(report.run.task)->step)];
+        const auto &step = stepOf(*job, report.run);
         view.tailsHigh = view.tailsHigh || report.load > step.tailTargetMs;
     }
     if (now < view.nextLook || view.servingImages.empty())
@@ -288,8 +290,7 @@
         const auto [job, task] = locate(report.run.task);
         if (image == view.servingImages.end() || task == nullptr || report.progressPercent < 100)
             continue;
-        const auto &step =
-            job->spec().steps[static_cast<std::size_t>(TaskName::parse(report.run.task)->step)];
+        const auto &step = stepOf(*job, report.run);
         m_suspicion.observe(image->second, filling,
                             report.load / static_cast<double>(step.tailTargetMs));
     }
@@ -303,8 +304,7 @@
             task->slowedAt == BootTime{} || now - task->slowedAt < moveAfter ||
             task->moves >= mostMoves)
             continue;
-        const auto &step =
-            job->spec().steps[static_cast<std::size_t>(TaskName::parse(run.task)->step)];
+        const auto &step = stepOf(*job, run);
         if (!step.checkpointing && task->progressPercent > littleProgress)
             continue;
         note("filling run is slowed; stopping it for a better place",
@@ -450,8 +450,7 @@
         const auto [job, task] = locate(run.task);
         if (task == nullptr || task->phase != TaskPhase::Placed || task->startOrder < 0)
             continue;
-        const auto &step =
-            job->spec().steps[static_cast<std::size_t>(TaskName::parse(run.task)->step)];
+        const auto &step = stepOf(*job, run);
         const auto limit = step.fills ? fillStalledAfter : stalledAfter;
         if (step.longRunning || step.gang || now - task->progressAt < limit)
             continue;
