Dispatch: serving headroom as a linear model of the fills beside; least remaining work first

Change: - TailModel replaces TailSuspicion: a Kalman filter with diagonal covariance over own headroom and weights. The owner learns, stores the weights and sends them to the agents; agents set the paces from their own figures, also at the start of a fill. - Fills go where they keep most of their pace; below 0.4 they wait, unless their job has no run at all. Serving tasks of one image are packed together, since they suffer from the same fills. Slowed fills move only if there is a better place. - Within a priority the job with the least remaining work goes first. - RunLedger: strict comparison of times; the first confirmed stop counts; a stop goes out once.

--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -8,7 +8,7 @@
 #include "lavenderarch/dispatch/exchange_request.h"
 #include "lavenderarch/dispatch/job_model.h"
 #include "lavenderarch/dispatch/minion_view.h"
-#include "lavenderarch/dispatch/tail_suspicion.h"
+#include "lavenderarch/dispatch/tail_model.h"
 #include "lavenderarch/storage/row.h"
 
 #include <memory>
@@ -81,6 +81,8 @@
     void takeRuns(MinionView &view, const ExchangeRequest &request, BootTime now);
     void learnTails(MinionView &view, const ExchangeRequest &request, BootTime now);
     void moveSlowed(MinionView &view, BootTime now);
+    bool hasBetterPlace(const JobModel &job, const TaskName &name, const TaskState &task,
+                        BootTime now);
     void findMissing(MinionView &view, const ExchangeRequest &request);
     void loseRuns(MinionView &view, const std::string &reason, BootTime now);
     void finishRun(JobModel &job, TaskState &task, const RunEnd &end, BootTime now);
@@ -95,11 +97,13 @@
 
     void findStalled(MinionView &view, BootTime now);
     void placeWaiting(BootTime now);
+    std::vector<JobModel *> placementOrder();
+    int placeJob(JobModel &job, BootTime now, int budget, bool &waits);
     int placeStep(JobModel &job, int occurrence, std::size_t step, BootTime now, int budget);
     int placeGang(JobModel &job, int occurrence, std::size_t step, BootTime now);
     void place(JobModel &job, const TaskName &name, MinionView &view, BootTime now);
     MinionView *choose(const JobModel &job, int occurrence, std::size_t step, const TaskState &task,
-                       BootTime now);
+                       BootTime now, bool idleJob = false);
     void release(const Staged &staged, BootTime now);
     void forgetEnded(BootTime now);
     void note(std::string message, std::vector<std::pair<std::string, std::string>> fields);
@@ -111,7 +115,7 @@
     std::set<std::string> m_closedDataCentres;
     std::map<std::string, JobModel> m_jobs;
     std::map<std::string, MinionView> m_minions; // by agent
-    /// Jobs with tasks that may wait, by (priority, acceptance, id): the order of placement.
+    /// Jobs with tasks that may wait, by (priority, acceptance, id).
     std::set<std::tuple<int, std::int64_t, std::string>> m_open;
     std::vector<std::string> m_dirty;          // jobs to store, oldest change first
     std::set<std::string> m_dirtySet;          // the same jobs
@@ -120,7 +124,7 @@
     std::map<std::string, BootTime> m_endedAt; // settled jobs
     std::vector<std::string> m_forget;         // jobs whose rows are to be deleted
     std::optional<std::vector<Staged>> m_inFlight;
-    TailSuspicion m_suspicion;
+    TailModel m_tails;
     std::int64_t m_storedLooks = 0; // of the model as stored
     BootTime m_nextModel{};         // when the model is stored again
     std::vector<DispatchEvent> m_events;
--- a/src/include/lavenderarch/dispatch/cell_tables.h
+++ b/src/include/lavenderarch/dispatch/cell_tables.h
@@ -11,7 +11,7 @@
 inline constexpr const char *stateTable = "lav-state";
 inline constexpr const char *progressTable = "lav-prog";
 inline constexpr const char *modelTable = "lav-model";
-inline constexpr const char *suspicionKey = "suspicion";
+inline constexpr const char *tailsKey = "tails";
 inline constexpr const char *ownerTable = "lav-owner";
 inline constexpr const char *ownerKey = "owner";
 /// Rows of jobTable whose key starts so ask for a job's cancellation.
--- a/src/include/lavenderarch/dispatch/job_model.h
+++ b/src/include/lavenderarch/dispatch/job_model.h
@@ -41,6 +41,9 @@
     /// Recounts active runs, and moves Queued and Running jobs forward.
     void refresh();
     int activeRuns() const { return m_active; }
+    /// Estimated work of the tasks that are not done, in thousandths of a core times
+    /// milliseconds, as of refresh(). Tasks that last count nothing.
+    std::int64_t remainingWork() const { return m_remainingWork; }
 
     /// Text of the job's progress for the store, and the way back. The error names the field.
     std::string progressText() const;
@@ -51,7 +54,11 @@
     JobPhase m_phase = JobPhase::Queued;
     bool m_cancelled = false;
     int m_active = 0; ///< tasks in Placed or Stopping, as of refresh()
+    std::int64_t m_remainingWork = 0;
     std::map<int, Occurrence> m_occurrences;
 };
 
+/// The step of the run's task, which is one of `job`.
+const StepSpec &stepOf(const JobModel &job, const RunKey &run);
+
 } // namespace lavenderarch
--- a/src/include/lavenderarch/dispatch/minion_view.h
+++ b/src/include/lavenderarch/dispatch/minion_view.h
@@ -2,8 +2,10 @@
 #pragma once
 
 #include "lavenderarch/core/boot_clock.h"
+#include "lavenderarch/dispatch/filling_run.h"
 #include "lavenderarch/dispatch/minion_facts.h"
 #include "lavenderarch/dispatch/run_order.h"
+#include "lavenderarch/dispatch/serving_run.h"
 
 #include <deque>
 #include <map>
@@ -28,6 +30,7 @@
     std::deque<RunOrder> outbox;       ///< orders that the agent has not confirmed
     std::set<RunKey> runs;             ///< runs of Placed and Stopping tasks here
     std::map<RunKey, Resources> extra; ///< reported runs that the model does not expect
+    std::set<RunKey> extraStopped;     ///< those of them for which a stop was ordered
 
     std::int64_t endsSeen = 0;         ///< all ends up to here are stored
     std::map<std::int64_t, bool> ends; ///< ends above endsSeen: whether they are stored
@@ -35,10 +38,11 @@
 
     Resources used;             ///< demand of `runs` that counts against capacity
     std::int64_t fillCores = 0; ///< thousandths of a core that filling tasks here would use
-    std::map<RunKey, std::string> servingImages; ///< images of the runs with a tail target
-    std::map<RunKey, std::string> fillImages;    ///< images of the runs that fill
-    bool tailsHigh = false;                      ///< some serving run is over its target
-    BootTime nextLook{};                         ///< when the tails are looked at again
+    std::map<RunKey, ServingRun> serving; ///< the runs with a tail target
+    std::map<RunKey, FillingRun> fills;   ///< the runs that fill
+    bool tailsHigh = false;               ///< some serving run is over its target
+    BootTime nextLook{};                  ///< when the tails are looked at again
+    bool weightsDue = false;              ///< the agent is to be told the weights of its images
 
     std::map<std::string, BootTime> failedJobs; ///< jobs that lately failed here
     BootTime avoidUntil{};
--- a/src/include/lavenderarch/dispatch/pace_controller.h
+++ b/src/include/lavenderarch/dispatch/pace_controller.h
@@ -3,6 +3,8 @@
 
 #include "lavenderarch/dispatch/run_ledger.h"
 
+#include <vector>
+
 namespace lavenderarch {
 
 /// A run and the share of its work that it may do from now on.
@@ -14,8 +16,7 @@
     friend bool operator==(const PaceChange &, const PaceChange &) = default;
 };
 
-/// Paces to set, given the runs of one minion with their newest load figures.
-std::vector<PaceChange> decidePaces(const std::map<RunKey, RunLedger::LocalRun> &runs,
-                                    BootTime now);
+/// Paces to set on the minion of `ledger`, by its newest figures.
+std::vector<PaceChange> decidePaces(const RunLedger &ledger, BootTime now);
 
 } // namespace lavenderarch
--- a/src/include/lavenderarch/dispatch/run_ledger.h
+++ b/src/include/lavenderarch/dispatch/run_ledger.h
@@ -5,6 +5,7 @@
 #include "lavenderarch/dispatch/exchange_reply.h"
 #include "lavenderarch/dispatch/exchange_request.h"
 #include "lavenderarch/dispatch/minion_listing.h"
+#include "lavenderarch/dispatch/tail_model.h"
 
 #include <map>
 #include <optional>
@@ -30,7 +31,9 @@
         bool described = true;
         bool fills = false;
         std::int64_t tailTargetMs = 0;
-        int harmPercent = 0;
+        std::string image;
+        std::int64_t milliCores = 0;
+        TailHeadroom headroom; ///< of a serving run
         int progressPercent = 0;
         int pacePercent = 100;
         double load = 0;
@@ -83,9 +86,11 @@
     std::int64_t epoch() const { return m_epoch; }
     std::int64_t endsSeen() const { return m_endsSeen; }
     const std::map<RunKey, LocalRun> &runs() const { return m_runs; }
+    const TailModel &tails() const { return m_tails; }
 
 private:
     void clearLife();
+    void followTails(BootTime now);
     void addAbsent(const RunKey &run, const std::string &reason);
 
     std::string m_agent;
@@ -100,6 +105,7 @@
     MinionFacts m_facts;
     std::int64_t m_factsSequence = 0;
     std::map<RunKey, LocalRun> m_runs;
+    TailModel m_tails;                     // weights as the owner learned them
     std::map<std::int64_t, RunEnd> m_ends; // above m_endsSeen
     std::map<RunKey, RunEnd> m_absent;
     std::int64_t m_endsSeen = 0;
--- a/src/include/lavenderarch/dispatch/run_order.h
+++ b/src/include/lavenderarch/dispatch/run_order.h
@@ -26,11 +26,12 @@
     std::string ticket;     ///< of the placement advice
     bool fills = false;
     std::int64_t tailTargetMs = 0;
-    int harmPercent = 0; ///< how likely a filling task raises the tails of its neighbours
+    std::string image;           ///< of the task
+    std::int64_t milliCores = 0; ///< thousandths of a core that the task uses at full pace
 
     friend bool operator==(const RunOrder &, const RunOrder &) = default;
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(RunOrder, sequence, kind, run, payload, checkpoint,
-                                                ticket, fills, tailTargetMs, harmPercent)
+                                                ticket, fills, tailTargetMs, image, milliCores)
 };
 
 } // namespace lavenderarch
--- a/src/include/lavenderarch/dispatch/run_report.h
+++ b/src/include/lavenderarch/dispatch/run_report.h
@@ -11,9 +11,9 @@
     RunKey run;
     int progressPercent = 0;
     int pacePercent = 100;
-    std::string checkpoint;   ///< newest saved progress, empty if none
-    bool starting = false;    ///< ordered, but not yet seen in the minion's list
-    int load = 0;             ///< of a serving task its tail latency in ms
+    std::string checkpoint; ///< newest saved progress, empty if none
+    bool starting = false;  ///< ordered, but not yet seen in the minion's list
+    int load = 0; ///< of a serving task its tail latency in ms, else thousandths of a core in use
     bool undescribed = false; ///< the agent does not know whether the run fills or serves
 
     friend bool operator==(const RunReport &, const RunReport &) = default;
--- a/src/include/lavenderarch/runtime/agent_loop.h
+++ b/src/include/lavenderarch/runtime/agent_loop.h
@@ -236,7 +236,7 @@
             if (listing.ok()) {
                 m_ledger.takeListing(*listing, context.epoch, sentAt, BootClock::now());
                 if (BootClock::now() >= m_nextPace) {
-                    paces = decidePaces(m_ledger.runs(), BootClock::now());
+                    paces = decidePaces(m_ledger, BootClock::now());
                     m_nextPace = BootClock::now() + paceInterval;
                 }
             } else {
@@ -315,8 +315,7 @@
                 answer = {OrderAnswer::Refused, late ? "no answer in time" : "no lease", 0};
             }
             if (answer.answer == OrderAnswer::Accepted || answer.answer == OrderAnswer::Ended) {
-                const std::scoped_lock lock(m_mutex);
-                m_ledger.startConfirmed(order.run, BootClock::now());
+                takeStarted(context, order);
                 return;
             }
             if (answer.answer != OrderAnswer::Unknown) {
@@ -328,6 +327,22 @@
         }
     }
 
+    /// A filling task starts at full pace: what it may do beside serving tasks is set at once.
+    void takeStarted(const ControlContext &context, const RunOrder &order)
+    {
+        std::vector<PaceChange> paces;
+        {
+            const std::scoped_lock lock(m_mutex);
+            m_ledger.startConfirmed(order.run, BootClock::now());
+            if (order.fills)
+                paces = decidePaces(m_ledger, BootClock::now());
+        }
+        for (const PaceChange &change : paces) {
+            if (change.run == order.run)
+                setPace(context, change);
+        }
+    }
+
     /// The run does not start. When a try got no answer it may start later: a stop forbids that.
     void refuse(const std::stop_token &stop, const RunKey &run, const std::string &reason,
                 bool unclear)
--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -193,8 +193,7 @@
         const auto jobs = m_store.read(cells::jobTable, cells::inbox(m_cell), deadline);
         const auto progress =
             jobs.ok() ? m_store.read(cells::progressTable, m_cell, deadline) : jobs;
-        const auto model =
-            m_store.readOne({cells::modelTable, m_cell, cells::suspicionKey}, deadline);
+        const auto model = m_store.readOne({cells::modelTable, m_cell, cells::tailsKey}, deadline);
         if (!progress.ok()) {
             logFailure("cell", "cell could not be read; giving it up", progress.status(),
                        {{"cell", m_cell}});
--- a/src/libdispatch/cell_dispatcher.cpp
+++ b/src/libdispatch/cell_dispatcher.cpp
@@ -105,7 +105,7 @@
 
 void CellDispatcher::loadModel(const std::string &text)
 {
-    if (!m_suspicion.load(text))
+    if (!m_tails.load(text))
         note("stored model is unreadable; learning anew", {{"cell", m_cell}});
 }
 
@@ -212,11 +212,11 @@
         }
     }
     m_dirty.erase(m_dirty.begin(), m_dirty.begin() + static_cast<std::ptrdiff_t>(taken));
-    if (m_suspicion.looks() != m_storedLooks && now >= m_nextModel) {
-        m_storedLooks = m_suspicion.looks();
+    if (m_tails.looks() != m_storedLooks && now >= m_nextModel) {
+        m_storedLooks = m_tails.looks();
         m_nextModel = now + modelInterval;
         commit.writes.push_back(
-            {{cells::modelTable, m_cell, cells::suspicionKey}, m_suspicion.text(), false});
+            {{cells::modelTable, m_cell, cells::tailsKey}, m_tails.text(), false});
     }
     if (taken == 0) {
         for (const std::string &id : m_forget) {
--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -11,18 +11,8 @@
 /// A minion's clock may be slow by 2 %, and messages take time on top.
 constexpr double clockDrift = 1.02;
 constexpr Milliseconds leaseMargin{300};
-/// A run whose progress has not moved for this long stands still. Agents report every second.
-constexpr Milliseconds stalledAfter{3000};
-constexpr Milliseconds fillStalledAfter{6000};
-/// Tails cover half a second: a change shows in full only after that.
-constexpr Milliseconds tailInterval{450};
-constexpr Milliseconds tailSettles{700};
-constexpr int fairPace = 50;
-/// A filling run below this pace for so long is moved, if that loses little work.
+/// A filling run below this pace is slowed.
 constexpr int slowPace = 40;
-constexpr Milliseconds moveAfter{1200};
-constexpr int mostMoves = 3;
-constexpr int littleProgress = 15;
 /// Failures of this many jobs without a success between them make a minion suspect.
 constexpr std::size_t suspectJobs = 2;
 constexpr Milliseconds failureMemory{6000};
@@ -35,12 +25,6 @@
     return now - view.lastHeard <= freshFor;
 }
 
-/// The step of the run's task, which is one of `job`.
-const StepSpec &stepOf(const JobModel &job, const RunKey &run)
-{
-    return job.spec().steps[static_cast<std::size_t>(TaskName::parse(run.task)->step)];
-}
-
 std::string numberText(std::int64_t number)
 {
     return std::to_string(number);
@@ -89,6 +73,8 @@
     reply.endsSeen = view.endsSeen;
     reply.absentSeen = std::exchange(view.absentSeen, {});
     reply.orders.assign(view.outbox.begin(), view.outbox.end());
+    if (std::exchange(view.weightsDue, false))
+        reply.weights = weightsOf(view, m_tails);
     return reply;
 }
 
@@ -107,6 +93,7 @@
     view.nextOrder = 1;
     view.outbox.clear();
     view.absentSeen.clear();
+    view.extraStopped.clear();
     view.ends.clear();
     view.endsSeen = 0;
     // Orders of the former session may or may not have been carried out: a run that the new
@@ -130,6 +117,7 @@
         view.ends.clear();
         view.endsSeen = 0;
         view.extra.clear();
+        view.extraStopped.clear();
         view.failedJobs.clear();
         view.avoidUntil = {};
         view.avoidMs = 0;
@@ -215,16 +203,12 @@
         if (!known) {
             if (task != nullptr)
                 view.extra[report.run] = counted(stepOf(*job, report.run));
-            std::int64_t sequence = 0;
-            const bool asked =
-                std::any_of(view.outbox.begin(), view.outbox.end(), [&](const RunOrder &order) {
-                    return order.kind == OrderKind::Stop && order.run == report.run;
-                });
-            if (!asked) {
+            if (view.extraStopped.insert(report.run).second) {
                 note("stop of a run that is not expected here",
                      {{"task", report.run.task},
                       {"run", numberText(report.run.number)},
                       {"agent", view.agent}});
+                std::int64_t sequence = 0;
                 orderStop(view, report.run, sequence);
             }
             continue;
@@ -250,73 +234,18 @@
             order.run = report.run;
             order.fills = step.fills;
             order.tailTargetMs = step.tailTargetMs;
-            order.harmPercent = static_cast<int>(100 * harmOfFill(view, step.image, m_suspicion));
+            order.image = step.image;
+            order.milliCores = step.demand.milliCores();
             std::int64_t sequence = 0;
             send(view, std::move(order), sequence);
         }
     }
     learnTails(view, request, now);
     findMissing(view, request);
-}
-
-void CellDispatcher::learnTails(MinionView &view, const ExchangeRequest &request, BootTime now)
-{
-    view.tailsHigh = false;
-    for (const RunReport &report : request.runs) {
-        const auto [job, task] = locate(report.run.task);
-        if (task == nullptr || view.servingImages.count(report.run) == 0)
-            continue;
-        const auto &step = stepOf(*job, report.run);
-        view.tailsHigh = view.tailsHigh || report.load > step.tailTargetMs;
-    }
-    if (now < view.nextLook || view.servingImages.empty())
-        return;
-    view.nextLook = now + tailInterval;
-    std::vector<std::string> filling;
-    for (const auto &[run, image] : view.fillImages) {
-        const auto [job, task] = locate(run.task);
-        if (task == nullptr)
-            continue;
-        const bool settled = task->placedAt + tailSettles <= now;
-        if (task->pacePercent >= fairPace && settled)
-            filling.push_back(image);
-        else if (task->pacePercent > 0)
-            return; // a figure of a change that is under way says little
-    }
-    std::sort(filling.begin(), filling.end());
-    filling.erase(std::unique(filling.begin(), filling.end()), filling.end());
-    for (const RunReport &report : request.runs) {
-        const auto image = view.servingImages.find(report.run);
-        const auto [job, task] = locate(report.run.task);
-        if (image == view.servingImages.end() || task == nullptr || report.progressPercent < 100)
-            continue;
-        const auto &step = stepOf(*job, report.run);
-        m_suspicion.observe(image->second, filling,
-                            report.load / static_cast<double>(step.tailTargetMs));
-    }
-}
-
-void CellDispatcher::moveSlowed(MinionView &view, BootTime now)
-{
-    for (const auto &[run, image] : view.fillImages) {
-        const auto [job, task] = locate(run.task);
-        if (task == nullptr || task->phase != TaskPhase::Placed || task->startOrder < 0 ||
-            task->slowedAt == BootTime{} || now - task->slowedAt < moveAfter ||
-            task->moves >= mostMoves)
-            continue;
-        const auto &step = stepOf(*job, run);
-        if (!step.checkpointing && task->progressPercent > littleProgress)
-            continue;
-        note("filling run is slowed; stopping it for a better place",
-             {{"task", run.task},
-              {"agent", view.agent},
-              {"pace", numberText(task->pacePercent)},
-              {"percent", numberText(task->progressPercent)}});
-        ++task->moves;
-        task->phase = TaskPhase::Stopping;
-        task->failedAgent = view.agent;
-        orderStop(view, run, task->stopOrder);
-    }
+    std::erase_if(view.extraStopped, [&](const RunKey &run) {
+        return std::none_of(request.runs.begin(), request.runs.end(),
+                            [&](const RunReport &report) { return report.run == run; });
+    });
 }
 
 void CellDispatcher::findMissing(MinionView &view, const ExchangeRequest &request)
@@ -444,27 +373,4 @@
     m_placementDue = true;
 }
 
-void CellDispatcher::findStalled(MinionView &view, BootTime now)
-{
-    for (const RunKey &run : view.runs) {
-        const auto [job, task] = locate(run.task);
-        if (task == nullptr || task->phase != TaskPhase::Placed || task->startOrder < 0)
-            continue;
-        const auto &step = stepOf(*job, run);
-        const auto limit = step.fills ? fillStalledAfter : stalledAfter;
-        if (step.longRunning || step.gang || now - task->progressAt < limit)
-            continue;
-        note("run stands still; stopping it",
-             {{"task", run.task},
-              {"run", numberText(run.number)},
-              {"agent", view.agent},
-              {"percent", numberText(task->progressPercent)},
-              {"stillMs", numberText((now - task->progressAt).count())}});
-        task->phase = TaskPhase::Stopping;
-        task->failedAgent = view.agent;
-        view.avoidUntil = std::max(view.avoidUntil, now + Milliseconds(firstAvoidMs));
-        orderStop(view, run, task->stopOrder);
-    }
-}
-
 } // namespace lavenderarch
--- a/src/libdispatch/cell_dispatcher_placement.cpp
+++ b/src/libdispatch/cell_dispatcher_placement.cpp
@@ -4,12 +4,14 @@
 #include "lavenderarch/dispatch/queue_catalog.h"
 #include "placement.h"
 
+#include <algorithm>
+
 namespace lavenderarch {
 namespace {
 
 /// Tasks placed in one pass: bounds the processor time of a commit.
 constexpr int maxPlacementsPerPass = 120;
-/// Jobs in a row for which no minion was found, after which a pass ends.
+/// Jobs for which no minion was found, after which a pass looks only at those without a run.
 constexpr int maxRefusedJobs = 24;
 /// Marks a start that waits for its commit.
 constexpr std::int64_t unreleased = -1;
@@ -33,9 +35,10 @@
     view.used = view.used + counted(step);
     view.fillCores += step.fills ? step.demand.milliCores() : 0;
     if (step.tailTargetMs > 0)
-        view.servingImages.emplace(run, step.image);
+        view.serving[run].image = step.image;
     if (step.fills)
-        view.fillImages.emplace(run, step.image);
+        view.fills[run] = {step.image, step.demand.milliCores()};
+    view.weightsDue = true;
 }
 
 void CellDispatcher::detach(MinionView &view, const StepSpec &step, const RunKey &run)
@@ -44,8 +47,25 @@
         return;
     view.used = view.used - counted(step);
     view.fillCores -= step.fills ? step.demand.milliCores() : 0;
-    view.servingImages.erase(run);
-    view.fillImages.erase(run);
+    view.serving.erase(run);
+    view.fills.erase(run);
+}
+
+/// By priority; within one, the least remaining work first: under overload that lets most jobs meet
+/// their objectives, and a job's worth grows less than its work.
+std::vector<JobModel *> CellDispatcher::placementOrder()
+{
+    std::vector<JobModel *> order;
+    for (const auto &[priority, accepted, id] : m_open) {
+        const auto found = m_jobs.find(id);
+        if (found != m_jobs.end() && m_catalog->serves(found->second.spec().service))
+            order.push_back(&found->second);
+    }
+    std::stable_sort(order.begin(), order.end(), [](const JobModel *left, const JobModel *right) {
+        return std::pair(left->spec().priority, left->remainingWork()) <
+               std::pair(right->spec().priority, right->remainingWork());
+    });
+    return order;
 }
 
 void CellDispatcher::placeWaiting(BootTime now)
@@ -54,34 +74,39 @@
         return;
     int budget = maxPlacementsPerPass;
     int refused = 0;
-    for (const auto &[priority, accepted, id] : m_open) {
-        const auto found = m_jobs.find(id);
-        if (found == m_jobs.end() || !m_catalog->serves(found->second.spec().service))
+    for (JobModel *job : placementOrder()) {
+        // A job without any run is not passed over, however large it is: see PlacementRequest.
+        if (refused >= maxRefusedJobs && job->activeRuns() > 0)
             continue;
-        JobModel &job = found->second;
-        int placed = 0;
         bool waits = false;
-        for (auto &[number, occurrence] : job.occurrences()) {
-            for (std::size_t step = 0; step < occurrence.size(); ++step) {
-                if (!job.isReady(occurrence, step))
-                    continue;
-                const int count = placeStep(job, number, step, now, budget - placed);
-                waits = waits || count < 0;
-                placed += std::max(count, 0);
-            }
-        }
+        const int placed = placeJob(*job, now, budget, waits);
         if (placed > 0)
-            markDirty(job);
+            markDirty(*job);
         budget -= placed;
-        refused = waits && placed == 0 ? refused + 1 : 0;
-        if (budget <= 0 || refused >= maxRefusedJobs) {
-            m_placementDue = budget <= 0;
+        refused += waits && placed == 0 ? 1 : 0;
+        if (budget <= 0) {
+            m_placementDue = true;
             return;
         }
     }
     m_placementDue = false;
 }
 
+int CellDispatcher::placeJob(JobModel &job, BootTime now, int budget, bool &waits)
+{
+    int placed = 0;
+    for (auto &[number, occurrence] : job.occurrences()) {
+        for (std::size_t step = 0; step < occurrence.size(); ++step) {
+            if (!job.isReady(occurrence, step))
+                continue;
+            const int count = placeStep(job, number, step, now, budget - placed);
+            waits = waits || count < 0;
+            placed += std::max(count, 0);
+        }
+    }
+    return placed;
+}
+
 int CellDispatcher::placeStep(JobModel &job, int occurrence, std::size_t step, BootTime now,
                               int budget)
 {
@@ -92,7 +117,8 @@
     for (std::size_t index = 0; index < tasks.size() && placed < budget; ++index) {
         if (tasks[index].phase != TaskPhase::Waiting)
             continue;
-        MinionView *view = choose(job, occurrence, step, tasks[index], now);
+        const bool idle = job.activeRuns() == 0 && placed == 0;
+        MinionView *view = choose(job, occurrence, step, tasks[index], now, idle);
         if (view == nullptr)
             return placed > 0 ? placed : -1;
         place(job, job.name(occurrence, static_cast<int>(step), static_cast<int>(index)), *view,
@@ -143,11 +169,12 @@
 }
 
 MinionView *CellDispatcher::choose(const JobModel &job, int occurrence, std::size_t step,
-                                   const TaskState &task, BootTime now)
+                                   const TaskState &task, BootTime now, bool idleJob)
 {
     const auto sameStep = minionsOf(job.occurrences().at(occurrence)[step]);
     const PlacementRequest request{&job.spec(), &job.spec().steps[step], &task,
-                                   &sameStep,   &m_closedDataCentres,    &m_suspicion};
+                                   &sameStep,   &m_closedDataCentres,    &m_tails,
+                                   idleJob};
     MinionView *best = nullptr;
     double bestScore = 0;
     for (auto &[agent, view] : m_minions) {
@@ -184,7 +211,8 @@
     order.checkpoint = task.checkpoint;
     order.fills = step.fills;
     order.tailTargetMs = step.tailTargetMs;
-    order.harmPercent = static_cast<int>(100 * harmOfFill(view, step.image, m_suspicion));
+    order.image = step.image;
+    order.milliCores = step.demand.milliCores();
     attach(view, step, order.run);
     note("run placed", {{"task", order.run.task},
                         {"run", std::to_string(task.run)},
--- /dev/null
+++ b/src/libdispatch/cell_dispatcher_watch.cpp
@@ -0,0 +1,133 @@
+// Watching runs: what their tails teach, which stand still, which would do better elsewhere.
+#include "lavenderarch/dispatch/cell_dispatcher.h"
+
+#include "placement.h"
+
+#include <algorithm>
+
+namespace lavenderarch {
+namespace {
+
+/// A run whose progress has not moved for this long stands still. Agents report every second.
+constexpr Milliseconds stalledAfter{3000};
+constexpr Milliseconds fillStalledAfter{6000};
+/// A suspect minion is avoided for this long.
+constexpr Milliseconds avoidFor{3000};
+/// The figures of tails cover half a second.
+constexpr Milliseconds tailInterval{450};
+/// Weight of one look in the average headroom: loads swing within ten seconds or so.
+constexpr double typicalRate = 0.08;
+/// A filling run that is slowed for so long is moved, if that loses little work and there is a
+/// place where it would run at least at this pace.
+constexpr Milliseconds moveAfter{1200};
+constexpr double betterPace = 0.7;
+constexpr int mostMoves = 3;
+constexpr int littleProgress = 15;
+
+std::string numberText(std::int64_t number)
+{
+    return std::to_string(number);
+}
+
+/// Shares of the minion's processors in use by each image that fills, by the newest report.
+FillShares sharesInUse(const MinionView &view, const ExchangeRequest &request)
+{
+    FillShares shares;
+    const auto capacity = static_cast<double>(view.facts.capacity.milliCores());
+    for (const RunReport &report : request.runs) {
+        const auto fill = view.fills.find(report.run);
+        if (fill != view.fills.end() && capacity > 0)
+            shares[fill->second.image] += report.load / capacity;
+    }
+    return shares;
+}
+
+} // namespace
+
+void CellDispatcher::learnTails(MinionView &view, const ExchangeRequest &request, BootTime now)
+{
+    const bool look = now >= view.nextLook && !view.serving.empty();
+    const FillShares shares = look ? sharesInUse(view, request) : FillShares{};
+    view.tailsHigh = false;
+    for (const RunReport &report : request.runs) {
+        const auto serving = view.serving.find(report.run);
+        const auto [job, task] = locate(report.run.task);
+        if (serving == view.serving.end() || task == nullptr || report.progressPercent < 100 ||
+            report.load <= 0)
+            continue;
+        const auto target = static_cast<double>(stepOf(*job, report.run).tailTargetMs);
+        ServingRun &run = serving->second;
+        view.tailsHigh = view.tailsHigh || report.load > target;
+        if (!look)
+            continue;
+        m_tails.observe(run.image, run.headroom, shares, target / report.load, now);
+        if (!run.headroom.known())
+            continue;
+        run.typical = run.typical > 0 ? run.typical + typicalRate * (run.headroom.own - run.typical)
+                                      : run.headroom.own;
+    }
+    if (!look)
+        return;
+    view.nextLook = now + tailInterval;
+    view.weightsDue = true;
+}
+
+void CellDispatcher::moveSlowed(MinionView &view, BootTime now)
+{
+    for (const auto &[run, fill] : view.fills) {
+        const auto [job, task] = locate(run.task);
+        if (task == nullptr || task->phase != TaskPhase::Placed || task->startOrder < 0 ||
+            task->slowedAt == BootTime{} || now - task->slowedAt < moveAfter ||
+            task->moves >= mostMoves)
+            continue;
+        const auto &step = stepOf(*job, run);
+        if (!step.checkpointing && task->progressPercent > littleProgress)
+            continue;
+        if (!hasBetterPlace(*job, *TaskName::parse(run.task), *task, now))
+            continue;
+        note("filling run is slowed; stopping it for a better place",
+             {{"task", run.task},
+              {"agent", view.agent},
+              {"pace", numberText(task->pacePercent)},
+              {"percent", numberText(task->progressPercent)}});
+        ++task->moves;
+        task->phase = TaskPhase::Stopping;
+        task->failedAgent = view.agent;
+        orderStop(view, run, task->stopOrder);
+    }
+}
+
+bool CellDispatcher::hasBetterPlace(const JobModel &job, const TaskName &name,
+                                    const TaskState &task, BootTime now)
+{
+    const MinionView *view =
+        choose(job, name.occurrence, static_cast<std::size_t>(name.step), task, now);
+    return view != nullptr && view->agent != task.agent &&
+           expectedPace(*view, job.spec().steps[static_cast<std::size_t>(name.step)], m_tails) >=
+               betterPace;
+}
+
+void CellDispatcher::findStalled(MinionView &view, BootTime now)
+{
+    for (const RunKey &run : view.runs) {
+        const auto [job, task] = locate(run.task);
+        if (task == nullptr || task->phase != TaskPhase::Placed || task->startOrder < 0)
+            continue;
+        const auto &step = stepOf(*job, run);
+        const auto limit = step.fills ? fillStalledAfter : stalledAfter;
+        if (step.longRunning || step.gang || now - task->progressAt < limit)
+            continue;
+        note("run stands still; stopping it",
+             {{"task", run.task},
+              {"run", numberText(run.number)},
+              {"agent", view.agent},
+              {"percent", numberText(task->progressPercent)},
+              {"stillMs", numberText((now - task->progressAt).count())}});
+        task->phase = TaskPhase::Stopping;
+        task->failedAgent = view.agent;
+        view.avoidUntil = std::max(view.avoidUntil, now + avoidFor);
+        orderStop(view, run, task->stopOrder);
+    }
+}
+
+} // namespace lavenderarch
--- a/src/libdispatch/pace_controller.cpp
+++ b/src/libdispatch/pace_controller.cpp
@@ -1,4 +1,4 @@
-// Additive increase, multiplicative decrease of the pace of filling tasks.
+// Paces that leave each serving task its headroom, taken first from the fills that do most harm.
 #include "lavenderarch/dispatch/pace_controller.h"
 
 #include <algorithm>
@@ -6,31 +6,30 @@
 namespace lavenderarch {
 namespace {
 
-/// Shares of the tail target: above the first fills slow down, below the second they speed up.
-constexpr double slowDownAbove = 1.0;
-constexpr double speedUpBelow = 0.8;
-/// Far above the target fills slow down faster.
-constexpr double farAbove = 1.5;
-/// Steps of the pace, in percent; below the least step a fill stands still.
-constexpr int speedUpStep = 20;
+/// Headroom that serving tasks are to keep: figures are rough, and loads swing within seconds.
+constexpr double wantedHeadroom = 1.02;
+/// A fill that takes less headroom than this does no harm.
+constexpr double harmless = 0.02;
+/// Steps of the pace, in percent: smaller changes are not worth a call; below the least pace a
+/// fill stands still; a pace rises by so much at a time, since a figure lags by half a second.
+constexpr int leastChange = 5;
 constexpr int leastPace = 10;
+constexpr int mostRise = 40;
 /// All fills stand still once a serving task is over its target for so long: the platform allows
 /// 4 s, and a figure lags by half a second.
 constexpr Milliseconds stopFillsAfter{1200};
-/// Only fills at least this close to the most harmful one that still works are slowed.
-constexpr double suspectShare = 0.7;
 
-double worstTailShare(const std::map<RunKey, RunLedger::LocalRun> &runs)
+using Runs = std::map<RunKey, RunLedger::LocalRun>;
+
+struct Fill
 {
-    double worst = 0;
-    for (const auto &[run, local] : runs) {
-        if (local.tailTargetMs > 0 && local.listed)
-            worst = std::max(worst, local.load / static_cast<double>(local.tailTargetMs));
-    }
-    return worst;
-}
+    const RunKey *run = nullptr;
+    const RunLedger::LocalRun *local = nullptr;
+    double share = 0; ///< of the minion's processors, at full pace
+    int pace = 100;
+};
 
-bool isOverTooLong(const std::map<RunKey, RunLedger::LocalRun> &runs, BootTime now)
+bool isOverTooLong(const Runs &runs, BootTime now)
 {
     return std::any_of(runs.begin(), runs.end(), [&](const auto &entry) {
         const RunLedger::LocalRun &run = entry.second;
@@ -39,42 +38,76 @@
     });
 }
 
-/// Of the filling tasks that still work.
-int worstActiveHarm(const std::map<RunKey, RunLedger::LocalRun> &runs)
+std::vector<Fill> fillsOf(const RunLedger &ledger)
 {
-    int worst = 0;
-    for (const auto &[run, local] : runs) {
-        if (local.fills && local.listed && local.pacePercent > 0)
-            worst = std::max(worst, local.harmPercent);
+    std::vector<Fill> fills;
+    const auto capacity = static_cast<double>(ledger.facts().capacity.milliCores());
+    for (const auto &[run, local] : ledger.runs()) {
+        const bool works = local.listed || local.phase == RunLedger::Phase::Held;
+        if (local.fills && works && capacity > 0)
+            fills.push_back({&run, &local, static_cast<double>(local.milliCores) / capacity, 100});
     }
-    return worst;
+    return fills;
+}
+
+/// Headroom that the serving run may lose to fills. What its newest figure lacks counts against
+/// the paces in force, whatever the model says.
+double allowedPressure(const RunLedger::LocalRun &serving, const std::vector<Fill> &fills,
+                       const TailModel &tails)
+{
+    double inForce = 0;
+    for (const Fill &fill : fills)
+        inForce += tails.weight(fill.local->image, serving.image) * fill.share *
+                   fill.local->pacePercent / 100;
+    const double byModel = serving.headroom.own - wantedHeadroom;
+    const double lacking = 1 - serving.headroom.observed;
+    return lacking > 0 ? std::min(byModel, inForce - lacking) : byModel;
 }
 
-int nextPace(int pace, double tailShare)
+/// Slows the fills that take most from `serving`, until it loses no more than `allowed`.
+void slowFills(std::vector<Fill> &fills, const RunLedger::LocalRun &serving, const TailModel &tails,
+               double allowed)
 {
-    if (tailShare > slowDownAbove) {
-        const int slower = tailShare > farAbove ? pace / 4 : pace / 2;
-        return slower < leastPace ? 0 : slower;
+    const auto loss = [&](const Fill &fill) {
+        return tails.weight(fill.local->image, serving.image) * fill.share;
+    };
+    std::sort(fills.begin(), fills.end(), [&](const Fill &left, const Fill &right) {
+        const double leftWeight = tails.weight(left.local->image, serving.image);
+        const double rightWeight = tails.weight(right.local->image, serving.image);
+        return leftWeight != rightWeight ? leftWeight > rightWeight : *left.run < *right.run;
+    });
+    double excess = -allowed;
+    for (const Fill &fill : fills)
+        excess += loss(fill) * fill.pace / 100;
+    for (Fill &fill : fills) {
+        if (excess <= 0)
+            return;
+        if (loss(fill) < harmless)
+            continue;
+        const double least = std::max(0.0, fill.pace - 100 * excess / loss(fill));
+        const int pace = least < leastPace ? 0 : static_cast<int>(least);
+        excess -= loss(fill) * (fill.pace - pace) / 100;
+        fill.pace = pace;
     }
-    return tailShare < speedUpBelow ? std::min(100, pace + speedUpStep) : pace;
 }
 
 } // namespace
 
-std::vector<PaceChange> decidePaces(const std::map<RunKey, RunLedger::LocalRun> &runs, BootTime now)
+std::vector<PaceChange> decidePaces(const RunLedger &ledger, BootTime now)
 {
-    const bool tooLong = isOverTooLong(runs, now);
-    const double tailShare = worstTailShare(runs);
-    const double suspect = suspectShare * worstActiveHarm(runs);
+    std::vector<Fill> fills = fillsOf(ledger);
+    const bool tooLong = isOverTooLong(ledger.runs(), now);
+    for (const auto &[run, local] : ledger.runs()) {
+        if (local.tailTargetMs > 0 && local.listed && local.headroom.known())
+            slowFills(fills, local, ledger.tails(), allowedPressure(local, fills, ledger.tails()));
+    }
     std::vector<PaceChange> changes;
-    for (const auto &[run, local] : runs) {
-        if (!local.fills || !local.listed)
-            continue;
-        if (!tooLong && tailShare > slowDownAbove && local.harmPercent < suspect)
-            continue;
-        const int pace = tooLong ? 0 : nextPace(local.pacePercent, tailShare);
-        if (pace != local.pacePercent)
-            changes.push_back({run, pace});
+    for (const Fill &fill : fills) {
+        const int former = fill.local->pacePercent;
+        const int pace = tooLong ? 0 : std::min(fill.pace, former + mostRise);
+        const bool end = pace == 0 || pace == 100;
+        if (pace != former && (end || std::abs(pace - former) >= leastChange))
+            changes.push_back({*fill.run, pace});
     }
     return changes;
 }
--- a/src/libdispatch/placement.cpp
+++ b/src/libdispatch/placement.cpp
@@ -8,16 +8,23 @@
 
 /// Weights of the score, in units of an idle minion's whole capacity.
 constexpr double rackWeight = 4;           // off the data's rack a task takes longer
-constexpr double fillBesideServing = 0.1;  // even harmless fills may come to do harm
-constexpr double harmWeight = 1.6;         // and times the likeliness that they do now
-constexpr double harmToServe = 0.3;        // per fill that a serving task would find
-constexpr double serveBesideServing = 1;   // serving tasks share minions, to leave others to fills
+constexpr double paceWeight = 2;           // of the pace that a filling task would keep
+constexpr double pressureWeight = 1;       // of the headroom to spare that a filling task takes
+constexpr double pressureToServe = 0.3;    // per headroom that fills take from a serving task
+constexpr double serveBesideAlike = 2;     // serving tasks of one image suffer from the same fills
 constexpr double packWeight = 1;           // and fill the fullest of these first
 constexpr double plainBesideServing = 0.5; // plain tasks do not disturb serving ones
 constexpr double avoidWeight = 8;          // lately failed tasks of several jobs
 constexpr double sameFailureWeight = 4;    // this task's last run failed there
 constexpr double suspectWeight = 0.5;      // some failure lately
 
+/// A filling task goes only where it would keep this share of its pace.
+constexpr double leastPace = 0.4;
+/// Headroom that is kept free, since figures are rough and loads swing.
+constexpr double spareHeadroom = 1.0;
+/// Share of their declared processors that tasks other than fills use at most, roughly.
+constexpr double usedShare = 0.65;
+
 bool hasLabel(const MinionView &view, const std::string &label)
 {
     const auto &labels = view.facts.labels;
@@ -37,6 +44,39 @@
     return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0;
 }
 
+/// Shares of the processors that the fills would use at full pace, by image.
+FillShares fullShares(const MinionView &view)
+{
+    FillShares shares;
+    for (const auto &[run, fill] : view.fills)
+        shares[fill.image] += share(fill.milliCores, view.facts.capacity.milliCores());
+    return shares;
+}
+
+/// Share of the headroom to spare that a filling task would take from the serving task which
+/// suffers most; 1 at most.
+double pressureOfFill(const MinionView &view, const StepSpec &step, const TailModel &tails)
+{
+    const double part = share(step.demand.milliCores(), view.facts.capacity.milliCores());
+    double worst = 0;
+    for (const auto &[run, serving] : view.serving) {
+        const double loss = part * tails.weight(step.image, serving.image);
+        const double free = serving.typical - spareHeadroom;
+        worst = std::max(worst, loss < free ? loss / free : 1);
+    }
+    return worst;
+}
+
+/// Of the serving tasks on the minion: 1 when all are of the image, -1 when none is, 0 for none.
+double alikeness(const MinionView &view, const std::string &image)
+{
+    if (view.serving.empty())
+        return 0;
+    const auto alike = std::count_if(view.serving.begin(), view.serving.end(),
+                                     [&](const auto &run) { return run.second.image == image; });
+    return 2 * static_cast<double>(alike) / static_cast<double>(view.serving.size()) - 1;
+}
+
 } // namespace
 
 Resources counted(const StepSpec &step)
@@ -53,7 +93,9 @@
     if (facts.service != request.job->service ||
         request.closedDataCentres->count(facts.dataCentre) != 0)
         return false;
-    if (request.step->fills && view.tailsHigh)
+    if (request.step->fills &&
+        (view.tailsHigh || expectedPace(view, *request.step, *request.tails) < leastPace) &&
+        !request.idleJob)
         return false;
     if (!request.step->requiredLabel.empty() && !hasLabel(view, request.step->requiredLabel))
         return false;
@@ -64,12 +106,37 @@
     return (taken(view) + counted(*request.step)).fitsInto(facts.capacity);
 }
 
-double harmOfFill(const MinionView &view, const std::string &image, const TailSuspicion &suspicion)
+double expectedPace(const MinionView &view, const StepSpec &step, const TailModel &tails)
 {
-    double worst = 0;
-    for (const auto &[run, serving] : view.servingImages)
-        worst = std::max(worst, suspicion.suspicion(image, serving));
-    return worst;
+    const auto capacity = static_cast<double>(view.facts.capacity.milliCores());
+    const auto wanted = static_cast<double>(step.demand.milliCores());
+    if (capacity <= 0 || wanted <= 0)
+        return 1;
+    const double used = usedShare * static_cast<double>(taken(view).milliCores());
+    double pace = (capacity - used - static_cast<double>(view.fillCores)) / wanted;
+    const FillShares shares = fullShares(view);
+    for (const auto &[run, serving] : view.serving) {
+        if (serving.typical <= 0)
+            continue;
+        const double loss = tails.weight(step.image, serving.image) * wanted / capacity;
+        const double free = serving.typical - spareHeadroom - tails.pressure(serving.image, shares);
+        if (loss > free)
+            pace = std::min(pace, free / loss);
+    }
+    return std::clamp(pace, 0.0, 1.0);
+}
+
+std::vector<TailWeight> weightsOf(const MinionView &view, const TailModel &tails)
+{
+    std::set<std::pair<std::string, std::string>> pairs;
+    for (const auto &[run, fill] : view.fills) {
+        for (const auto &[other, serving] : view.serving)
+            pairs.emplace(fill.image, serving.image);
+    }
+    std::vector<TailWeight> weights;
+    for (const auto &[filling, serving] : pairs)
+        weights.push_back({filling, serving, tails.weight(filling, serving)});
+    return weights;
 }
 
 double placementScore(const MinionView &view, const PlacementRequest &request, BootTime now)
@@ -80,19 +147,17 @@
     const std::int64_t unused = capacity.milliCores() - used.milliCores();
     double score = 0;
     if (step.fills) {
-        score = share(unused - view.fillCores, capacity.milliCores());
-        if (!view.servingImages.empty())
-            score -=
-                fillBesideServing + harmWeight * harmOfFill(view, step.image, *request.suspicion);
+        score = paceWeight * expectedPace(view, step, *request.tails);
+        score += share(unused - view.fillCores, capacity.milliCores());
+        score -= pressureWeight * pressureOfFill(view, step, *request.tails);
     } else if (step.tailTargetMs > 0) {
         score = packWeight * (1 - share(unused, capacity.milliCores()));
-        score += view.servingImages.empty() ? 0 : serveBesideServing;
-        for (const auto &[run, image] : view.fillImages)
-            score -= harmToServe * request.suspicion->suspicion(image, step.image);
+        score += serveBesideAlike * alikeness(view, step.image);
+        score -= pressureToServe * request.tails->pressure(step.image, fullShares(view));
     } else {
         const double memory = share(capacity.memoryMib() - used.memoryMib(), capacity.memoryMib());
         score = std::min(share(unused, capacity.milliCores()), memory);
-        score += view.servingImages.empty() ? 0 : plainBesideServing;
+        score += view.serving.empty() ? 0 : plainBesideServing;
         score -= share(view.fillCores, capacity.milliCores());
     }
     if (!step.preferredRack.empty() && hasLabel(view, step.preferredRack))
--- a/src/libdispatch/placement.h
+++ b/src/libdispatch/placement.h
@@ -3,7 +3,7 @@
 
 #include "lavenderarch/dispatch/job_spec.h"
 #include "lavenderarch/dispatch/minion_view.h"
-#include "lavenderarch/dispatch/tail_suspicion.h"
+#include "lavenderarch/dispatch/tail_model.h"
 #include "lavenderarch/dispatch/task_state.h"
 
 #include <optional>
@@ -22,7 +22,9 @@
     /// Tasks of the step and occurrence that a minion already has, by agent.
     const std::map<std::string, int> *sameStep = nullptr;
     const std::set<std::string> *closedDataCentres = nullptr;
-    const TailSuspicion *suspicion = nullptr;
+    const TailModel *tails = nullptr;
+    /// The job has no run: one task may start anywhere, however slow, so that the job moves.
+    bool idleJob = false;
 };
 
 /// What `step` takes of a minion's capacity: filling tasks use only processors left over.
@@ -31,8 +33,12 @@
 /// True when the minion may be given the task now.
 bool isEligible(const MinionView &view, const PlacementRequest &request, BootTime now);
 
-/// How likely a task of `image` that fills takes one of the minion's serving tasks over its target.
-double harmOfFill(const MinionView &view, const std::string &image, const TailSuspicion &suspicion);
+/// Share of its full pace, 0 to 1, that a task which fills would keep on the minion with all
+/// serving tasks there under their targets.
+double expectedPace(const MinionView &view, const StepSpec &step, const TailModel &tails);
+
+/// Weights of the images that fill or serve on the minion.
+std::vector<TailWeight> weightsOf(const MinionView &view, const TailModel &tails);
 
 /// Higher is better; only for eligible minions.
 double placementScore(const MinionView &view, const PlacementRequest &request, BootTime now);
--- a/src/libdispatch/run_ledger.cpp
+++ b/src/libdispatch/run_ledger.cpp
@@ -86,6 +86,8 @@
     m_ends.erase(m_ends.begin(), m_ends.upper_bound(m_endsSeen));
     for (const RunKey &run : reply.absentSeen)
         m_absent.erase(run);
+    for (const TailWeight &weight : reply.weights)
+        m_tails.setWeight(weight);
     for (const RunOrder &order : reply.orders) {
         if (order.sequence <= m_orderSeen)
             continue;
@@ -103,15 +105,19 @@
             run.since = now;
             run.fills = order.fills;
             run.tailTargetMs = order.tailTargetMs;
-            run.harmPercent = order.harmPercent;
+            run.image = order.image;
+            run.milliCores = order.milliCores;
             m_runs.insert_or_assign(order.run, run);
         } else if (order.kind == OrderKind::Stop) {
-            m_runs.try_emplace(order.run).first->second.stopWanted = true;
+            LocalRun &run = m_runs.try_emplace(order.run).first->second;
+            if (std::exchange(run.stopWanted, true))
+                continue; // it is being carried out, or confirmed
         } else if (const auto run = m_runs.find(order.run); run != m_runs.end()) {
             run->second.described = true;
             run->second.fills = order.fills;
             run->second.tailTargetMs = order.tailTargetMs;
-            run->second.harmPercent = order.harmPercent;
+            run->second.image = order.image;
+            run->second.milliCores = order.milliCores;
         }
         if (order.kind != OrderKind::Describe)
             accepted.push_back(order);
@@ -147,6 +153,7 @@
         else if (run.overSince == BootTime{})
             run.overSince = now;
     }
+    followTails(now);
     for (const RunEnd &end : listing.ends) {
         m_runs.erase(end.run);
         if (end.number > m_endsSeen)
@@ -154,8 +161,8 @@
     }
     for (auto entry = m_runs.begin(); entry != m_runs.end();) {
         LocalRun &run = entry->second;
-        const bool stopped = run.stopConfirmed && *run.stopConfirmed <= sentAt;
-        const bool missing = run.phase == Phase::Held && run.since <= sentAt && !run.stopWanted;
+        const bool stopped = run.stopConfirmed && *run.stopConfirmed < sentAt;
+        const bool missing = run.phase == Phase::Held && run.since < sentAt && !run.stopWanted;
         if (present.count(entry->first) != 0 || (!stopped && !missing)) {
             ++entry;
             continue;
@@ -167,6 +174,21 @@
     }
 }
 
+void RunLedger::followTails(BootTime now)
+{
+    FillShares shares;
+    const auto capacity = static_cast<double>(m_facts.capacity.milliCores());
+    for (const auto &[run, local] : m_runs) {
+        if (local.fills && local.listed && capacity > 0)
+            shares[local.image] += local.load / capacity;
+    }
+    for (auto &[run, local] : m_runs) {
+        if (local.tailTargetMs > 0 && local.listed && local.load > 0)
+            m_tails.observe(local.image, local.headroom, shares,
+                            static_cast<double>(local.tailTargetMs) / local.load, now);
+    }
+}
+
 void RunLedger::renewalSent(const Lease &lease)
 {
     m_sentLease = lease;
@@ -204,7 +226,8 @@
 
 void RunLedger::stopConfirmed(const RunKey &run, BootTime now)
 {
-    if (const auto found = m_runs.find(run); found != m_runs.end())
+    // The first answer counts: a listing asked for after it shows whether the run is gone.
+    if (const auto found = m_runs.find(run); found != m_runs.end() && !found->second.stopConfirmed)
         found->second.stopConfirmed = now;
 }
 
@@ -241,9 +264,9 @@
     request.reachable = m_reachable;
     request.facts = m_facts;
     for (const auto &[run, local] : m_runs) {
-        const int tailMs = local.tailTargetMs > 0 ? static_cast<int>(local.load) : 0;
+        const int load = static_cast<int>(local.load);
         request.runs.push_back({run, local.progressPercent, local.pacePercent, local.checkpoint,
-                                local.phase == Phase::Starting, tailMs, !local.described});
+                                local.phase == Phase::Starting, load, !local.described});
     }
     for (const auto &[number, end] : m_ends)
         request.ends.push_back(end);
