Agent: paces are decided each 250 ms and rise at once

Cause: with the weights known, a pace that climbs by 40 in half a second only loses work; the figure of a tail follows the load within seconds. Change: interval 250 ms (500), no limit on a rise.

--- a/src/include/lavenderarch/runtime/agent_loop.h
+++ b/src/include/lavenderarch/runtime/agent_loop.h
@@ -32,8 +32,8 @@
 inline constexpr Milliseconds renewRetryPause{120};
 /// Longest wait for the owner's confirmation of ends before the minion is asked again.
 inline constexpr Milliseconds confirmationWait{150};
-/// Time between two decisions on paces: the load figures cover the last half second.
-inline constexpr Milliseconds paceInterval{500};
+/// Time between two decisions on paces: a load swings within seconds, its figure covers half a one.
+inline constexpr Milliseconds paceInterval{250};
 /// One try of an order to the minion, which answers on the same VM.
 inline constexpr Milliseconds orderTry{400};
 inline constexpr Milliseconds orderRetryPause{60};
--- a/src/libdispatch/pace_controller.cpp
+++ b/src/libdispatch/pace_controller.cpp
@@ -10,11 +10,10 @@
 constexpr double wantedHeadroom = 1.02;
 /// A fill that takes less headroom than this does no harm.
 constexpr double harmless = 0.02;
-/// Steps of the pace, in percent: smaller changes are not worth a call; below the least pace a
-/// fill stands still; a pace rises by so much at a time, since a figure lags by half a second.
+/// In percent: smaller changes of a pace are not worth a call; below the least pace a fill stands
+/// still.
 constexpr int leastChange = 5;
 constexpr int leastPace = 10;
-constexpr int mostRise = 40;
 /// All fills stand still once a serving task is over its target for so long: the platform allows
 /// 4 s, and a figure lags by half a second.
 constexpr Milliseconds stopFillsAfter{1200};
@@ -104,7 +103,7 @@
     std::vector<PaceChange> changes;
     for (const Fill &fill : fills) {
         const int former = fill.local->pacePercent;
-        const int pace = tooLong ? 0 : std::min(fill.pace, former + mostRise);
+        const int pace = tooLong ? 0 : fill.pace;
         const bool end = pace == 0 || pace == 100;
         if (pace != former && (end || std::abs(pace - former) >= leastChange))
             changes.push_back({*fill.run, pace});
