Cell host: no placement while the inbox is not heard

What the code allowed: the follower of the inbox may be without an answer for two turns of 1.85 s while commits still succeed on other connections.

Change: an owner that has not heard its inbox for 2.5 s stores ends but places nothing. Test: an owner that may not place.

--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -47,9 +47,9 @@
     /// Ends leases that lapsed, finds runs that stand still, creates due occurrences.
     void tick(BootTime now, std::int64_t timeOfDayMs);
 
-    /// Places waiting tasks and returns what has to be stored; nothing when nothing changed or a
-    /// commit is in flight.
-    std::optional<CellCommit> prepareCommit(BootTime now);
+    /// Places waiting tasks if `mayPlace` and returns what has to be stored; nothing when nothing
+    /// changed or a commit is in flight.
+    std::optional<CellCommit> prepareCommit(BootTime now, bool mayPlace = true);
     /// The last prepared commit is stored: its orders and confirmations go out.
     void commitApplied(BootTime now);
 
--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -23,6 +23,9 @@
 inline constexpr Milliseconds tickInterval{250};
 /// Time for reading a whole cell at a takeover.
 inline constexpr Milliseconds loadTime{3000};
+/// An owner that has not heard of new rows for so long places nothing: no task may start later
+/// than 3 s after its job's cancellation, and a commit and a start take some of that.
+inline constexpr Milliseconds inboxFresh{2500};
 
 /// Thread-safe. Lock order: m_mutex is the only lock, and no call of the store is made under it.
 template <RowStore Store>
@@ -215,7 +218,7 @@
             RowFollower<Store> follower(
                 m_store, cells::jobTable, [this, version] { return reloadJobs(*version); },
                 [this](const Row &row) { applyJobRow(row); });
-            serve(stop);
+            serve(stop, follower);
             // Before the follower ends, which may take as long as one of its calls.
             const std::scoped_lock lock(m_mutex);
             m_dispatcher.reset();
@@ -252,7 +255,7 @@
         m_work.notify_all();
     }
 
-    void serve(const std::stop_token &stop)
+    void serve(const std::stop_token &stop, const RowFollower<Store> &inbox)
     {
         BootTime nextTick = BootClock::now();
         while (true) {
@@ -272,7 +275,9 @@
                     m_dispatcher->tick(BootClock::now(), toEpochMs(SystemClock().now()));
                     nextTick = BootClock::now() + tickInterval;
                 }
-                commit = m_dispatcher->prepareCommit(BootClock::now());
+                // Without the newest cancellations no task may be started.
+                const bool current = BootClock::now() - inbox.lastAnswer() < inboxFresh;
+                commit = m_dispatcher->prepareCommit(BootClock::now(), current);
                 logEvents();
                 wakeAgents(false);
                 if (!commit && BootClock::now() < renewal)
--- a/src/libdispatch/cell_dispatcher.cpp
+++ b/src/libdispatch/cell_dispatcher.cpp
@@ -173,11 +173,11 @@
     return {&job->second, job->second.find(*name)};
 }
 
-std::optional<CellCommit> CellDispatcher::prepareCommit(BootTime now)
+std::optional<CellCommit> CellDispatcher::prepareCommit(BootTime now, bool mayPlace)
 {
     if (m_inFlight)
         return std::nullopt;
-    if (m_placementDue) {
+    if (m_placementDue && mayPlace) {
         m_placementDue = false;
         placeWaiting(now);
     }
--- a/src/libdispatch/dispatch_test.cpp
+++ b/src/libdispatch/dispatch_test.cpp
@@ -224,6 +224,31 @@
     }
 }
 
+TEST_CASE("an owner that may not place stores what it has and places later")
+{
+    const BootTime now(Milliseconds(50'000));
+    CellDispatcher owner("svc", {}, 1);
+    auto catalog = std::make_shared<QueueCatalog>();
+    catalog->queues.push_back({"q", "h", "/q/", "svc", 0, 2, 1.5, 400, 3000, false});
+    owner.setCatalog(catalog);
+    ExchangeRequest hello;
+    hello.agent = "agent";
+    hello.session = "s";
+    hello.number = 1;
+    hello.epoch = 1;
+    hello.registered = hello.reachable = true;
+    hello.facts = {{"m", 1}, "svc", "dc", {}, Resources(4000, 8000, 0), false, 0};
+    owner.take(hello, now, true);
+    JobSpec job = twoSteps("a");
+    job.service = "svc";
+    const RowWrite write = cells::jobWrite("svc", job);
+    owner.applyJobRow({write.key, write.value, 1, false}, now);
+    CHECK_FALSE(owner.prepareCommit(now, false));
+    REQUIRE(owner.prepareCommit(now, true));
+    owner.commitApplied(now);
+    CHECK(owner.hasOrders("agent"));
+}
+
 TEST_CASE("all members of a gang start together, with one run number")
 {
     PlayedCell cell(7, 4, {});
