--- a/src/include/lavenderarch/core/json.h
+++ b/src/include/lavenderarch/core/json.h
@@ -24,4 +24,14 @@
     }
 }
 
+/// Parses `text` and converts it; `what` names the document in the error message.
+template <typename Value>
+StatusOr<Value> parseAs(std::string_view text, std::string_view what)
+{
+    const auto parsed = parseJson(text, what);
+    if (!parsed.ok())
+        return parsed.status();
+    return fromJson<Value>(*parsed, what);
+}
+
 } // namespace lavenderarch
--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -79,6 +79,8 @@
     void settleFormerLife(MinionView &view, BootTime now);
     void takeEnds(MinionView &view, const ExchangeRequest &request, BootTime now);
     void takeEnd(MinionView &view, const RunEnd &end, BootTime now);
+    /// Confirms the end to the agent once the job is stored.
+    void stageEnd(const std::string &job, const MinionView &view, const RunEnd &end);
     void takeRuns(MinionView &view, const ExchangeRequest &request, BootTime now);
     void learnTails(MinionView &view, const ExchangeRequest &request, BootTime now);
     void moveSlowed(MinionView &view, BootTime now);
--- a/src/include/lavenderarch/dispatch/dispatch_limits.h
+++ b/src/include/lavenderarch/dispatch/dispatch_limits.h
@@ -10,8 +10,6 @@
 struct DispatchLimits
 {
     std::int64_t leaseMs = 5000;        ///< lease that a poll grants to a minion
-    std::int64_t stopTimeoutMs = 1000;  ///< longest time that a stop takes (platform bound)
-    std::int64_t gangTimeoutMs = 3000;  ///< wait of a gang's member for the others
     std::int64_t retentionMs = 150'000; ///< how long an ended job stays known
 
     friend bool operator==(const DispatchLimits &, const DispatchLimits &) = default;
--- a/src/include/lavenderarch/runtime/agent_loop.h
+++ b/src/include/lavenderarch/runtime/agent_loop.h
@@ -167,9 +167,7 @@
     {
         const auto row = m_store.readOne(cells::ownerRowKey(m_cell), BootClock::now() + lookupTime);
         if (row.ok() && row->version != 0) {
-            const auto parsed = parseJson(row->value, "owner row");
-            const auto record = parsed.ok() ? fromJson<OwnerRecord>(*parsed, "owner row")
-                                            : StatusOr<OwnerRecord>(parsed.status());
+            const auto record = parseAs<OwnerRecord>(row->value, "owner row");
             const auto address =
                 record.ok() ? Address::parse(record->address) : StatusOr<Address>(record.status());
             if (address.ok() && !record->released) {
--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -160,9 +160,7 @@
         }
         m_record = {};
         if (row->version != 0) {
-            const auto parsed = parseJson(row->value, "owner row");
-            const auto record = parsed.ok() ? fromJson<OwnerRecord>(*parsed, "owner row")
-                                            : StatusOr<OwnerRecord>(parsed.status());
+            const auto record = parseAs<OwnerRecord>(row->value, "owner row");
             if (!record.ok()) {
                 logFailure("cell", "owner row is unreadable", record.status(), {{"cell", m_cell}});
                 return false;
--- a/src/include/lavenderarch/storage/parse_row.h
+++ b/src/include/lavenderarch/storage/parse_row.h
@@ -10,10 +10,7 @@
 template <typename Value>
 StatusOr<Value> parseRow(const TableRow &row)
 {
-    const auto parsed = parseJson(row.value, row.key);
-    if (!parsed.ok())
-        return parsed.status();
-    return fromJson<Value>(*parsed, row.key);
+    return parseAs<Value>(row.value, row.key);
 }
 
 } // namespace lavenderarch
--- a/src/libdispatch/cell_dispatcher.cpp
+++ b/src/libdispatch/cell_dispatcher.cpp
@@ -111,8 +111,7 @@
 
 void CellDispatcher::addJob(const Row &row)
 {
-    const auto parsed = parseJson(row.value, "job row " + row.key.key);
-    auto spec = parsed.ok() ? fromJson<JobSpec>(*parsed, "job row") : parsed.status();
+    const auto spec = parseAs<JobSpec>(row.value, "job row " + row.key.key);
     const Status valid = spec.ok() ? validateJob(*spec) : spec.status();
     if (!valid.ok()) {
         note("job row is unreadable", {{"job", row.key.key}, {"error", messageOf(valid)}});
--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -183,10 +183,7 @@
         // have become known just now, so that the job is still to be stored.
         const std::string id = job == nullptr ? "" : job->spec().id;
         if (job != nullptr && (m_inFlight || m_dirtySet.count(id) != 0)) {
-            if (end.number == 0)
-                m_staged[id].absent.emplace_back(view.agent, end.run);
-            else
-                m_staged[id].ends.emplace_back(view.agent, end.number);
+            stageEnd(id, view, end);
             markDirty(*job);
         } else if (end.number == 0)
             view.absentSeen.push_back(end.run);
@@ -197,10 +194,15 @@
     noteOutcome(view, *job, end.outcome, now);
     const std::string id = job->spec().id;
     finishRun(*job, *task, end, now);
+    stageEnd(id, view, end);
+}
+
+void CellDispatcher::stageEnd(const std::string &job, const MinionView &view, const RunEnd &end)
+{
     if (end.number == 0)
-        m_staged[id].absent.emplace_back(view.agent, end.run);
+        m_staged[job].absent.emplace_back(view.agent, end.run);
     else
-        m_staged[id].ends.emplace_back(view.agent, end.number);
+        m_staged[job].ends.emplace_back(view.agent, end.number);
 }
 
 void CellDispatcher::advanceEnds(MinionView &view)
--- a/src/libruntime/exchange_channel.cpp
+++ b/src/libruntime/exchange_channel.cpp
@@ -19,10 +19,7 @@
         return answer.status();
     if (answer->status != 200)
         return refusalOf(*answer);
-    const auto parsed = parseJson(answer->body, "exchange reply");
-    if (!parsed.ok())
-        return parsed.status();
-    return fromJson<ExchangeReply>(*parsed, "exchange reply");
+    return parseAs<ExchangeReply>(answer->body, "exchange reply");
 }
 
 } // namespace lavenderarch
--- a/src/libruntime/job_states.cpp
+++ b/src/libruntime/job_states.cpp
@@ -31,9 +31,7 @@
         m_jobs.erase(row.key.key);
         return;
     }
-    const auto parsed = parseJson(row.value, "state row " + row.key.key);
-    const auto state = parsed.ok() ? fromJson<JobStateRow>(*parsed, "state row")
-                                   : StatusOr<JobStateRow>(parsed.status());
+    const auto state = parseAs<JobStateRow>(row.value, "state row " + row.key.key);
     if (!state.ok()) {
         logFailure("states", "state row is unreadable", state.status(), {{"job", row.key.key}});
         return;
--- a/src/libstorage/store_http.h
+++ b/src/libstorage/store_http.h
@@ -22,10 +22,7 @@
 template <typename Value>
 StatusOr<Value> parseStoreBody(const std::string &body, std::string_view what)
 {
-    const auto parsed = parseJson(body, what);
-    if (!parsed.ok())
-        return parsed.status();
-    return fromJson<Value>(*parsed, what);
+    return parseAs<Value>(body, what);
 }
 
 } // namespace lavenderarch
--- a/testsuite/platform_case.py
+++ b/testsuite/platform_case.py
@@ -76,8 +76,7 @@
 
     def settings(self, vm: str, **more) -> dict:
         return {"vm": vm, "host": "127.0.0.1", "dataCentre": "dc-1", "store": self.store.address,
-                "ownPort": self.ports.pop(), "longestLeaseMs": 5000, "stopTimeoutMs": 500,
-                "gangTimeoutMs": 3000, "gracePeriodMs": GRACE_MS, "retentionS": 120,
+                "ownPort": self.ports.pop(), "longestLeaseMs": 5000, "gracePeriodMs": GRACE_MS, "retentionS": 120,
                 "control": "call", **more}
 
     def __enter__(self):
