--- a/src/include/lavenderarch/dispatch/pace_controller.h
+++ b/src/include/lavenderarch/dispatch/pace_controller.h
@@ -3,6 +3,7 @@
 
 #include "lavenderarch/dispatch/run_ledger.h"
 
+#include <string>
 #include <vector>
 
 namespace lavenderarch {
@@ -12,6 +13,8 @@
 {
     RunKey run;
     int percent = 100;
+    std::string serving; ///< task for whose sake the pace is lowered; empty: none asks for less
+    double headroom = 0; ///< newest figure of that task
 
     friend bool operator==(const PaceChange &, const PaceChange &) = default;
 };
--- a/src/include/lavenderarch/runtime/agent_loop.h
+++ b/src/include/lavenderarch/runtime/agent_loop.h
@@ -266,7 +266,10 @@
         const std::scoped_lock lock(m_mutex);
         m_ledger.setPace(change.run, change.percent);
         logEvent(LogLevel::Info, "agent", "pace of a filling task changed",
-                 {{"task", change.run.task}, {"percent", std::to_string(change.percent)}});
+                 {{"task", change.run.task},
+                  {"percent", std::to_string(change.percent)},
+                  {"serving", change.serving},
+                  {"headroom", std::to_string(change.headroom)}});
     }
 
     void carryOut(const std::stop_token &stop)
--- a/src/libdispatch/pace_controller.cpp
+++ b/src/libdispatch/pace_controller.cpp
@@ -26,6 +26,8 @@
     const RunLedger::LocalRun *local = nullptr;
     double share = 0; ///< of the minion's processors, at full pace
     int pace = 100;
+    const RunKey *serving = nullptr; ///< the run that asks for less; null: none does
+    double headroom = 0;             ///< its newest figure
 };
 
 bool isOverTooLong(const Runs &runs, BootTime now)
@@ -44,7 +46,7 @@
     for (const auto &[run, local] : ledger.runs()) {
         const bool works = local.listed || local.phase == RunLedger::Phase::Held;
         if (local.fills && works && capacity > 0)
-            fills.push_back({&run, &local, static_cast<double>(local.milliCores) / capacity, 100});
+            fills.push_back({&run, &local, static_cast<double>(local.milliCores) / capacity});
     }
     return fills;
 }
@@ -64,9 +66,10 @@
 }
 
 /// Slows the fills that take most from `serving`, until it loses no more than `allowed`.
-void slowFills(std::vector<Fill> &fills, const RunLedger::LocalRun &serving, const TailModel &tails,
-               double allowed)
+void slowFills(std::vector<Fill> &fills, const RunKey &run, const RunLedger::LocalRun &serving,
+               const TailModel &tails)
 {
+    const double allowed = allowedPressure(serving, fills, tails);
     const auto loss = [&](const Fill &fill) {
         return tails.weight(fill.local->image, serving.image) * fill.share;
     };
@@ -87,6 +90,8 @@
         const int pace = least < leastPace ? 0 : static_cast<int>(least);
         excess -= loss(fill) * (fill.pace - pace) / 100;
         fill.pace = pace;
+        fill.serving = &run;
+        fill.headroom = serving.headroom.observed;
     }
 }
 
@@ -98,7 +103,7 @@
     const bool tooLong = isOverTooLong(ledger.runs(), now);
     for (const auto &[run, local] : ledger.runs()) {
         if (local.tailTargetMs > 0 && local.listed && local.headroom.known())
-            slowFills(fills, local, ledger.tails(), allowedPressure(local, fills, ledger.tails()));
+            slowFills(fills, run, local, ledger.tails());
     }
     std::vector<PaceChange> changes;
     for (const Fill &fill : fills) {
@@ -106,7 +111,8 @@
         const int pace = tooLong ? 0 : fill.pace;
         const bool end = pace == 0 || pace == 100;
         if (pace != former && (end || std::abs(pace - former) >= leastChange))
-            changes.push_back({*fill.run, pace});
+            changes.push_back({*fill.run, pace, fill.serving == nullptr ? "" : fill.serving->task,
+                               fill.headroom});
     }
     return changes;
 }
--- a/src/libdispatch/tails_test.cpp
+++ b/src/libdispatch/tails_test.cpp
@@ -41,6 +41,15 @@
         m_ledger.takeListing(listing, 1, m_now, m_now);
     }
     void pass(int milliseconds) { m_now += Milliseconds(milliseconds); }
+    /// The serving task for whose sake a fill's pace changes.
+    std::string asker(const std::string &fill) const
+    {
+        for (const PaceChange &change : decidePaces(m_ledger, m_now)) {
+            if (change.run.task.rfind(fill, 0) == 0)
+                return change.serving;
+        }
+        return "";
+    }
     std::map<std::string, int> paces() const
     {
         std::map<std::string, int> paces;
@@ -135,6 +144,7 @@
     REQUIRE(paces.count("loud") == 1);
     CHECK(paces["loud"] < 90);
     CHECK(paces.count("calm") == 0);
+    CHECK(minion.asker("loud") == "serve.0.0.0");
     for (int look = 0; look < 6; ++look) {
         minion.pass(500);
         minion.list(9, 0, 100);
