--- a/src/libdispatch/placement.cpp
+++ b/src/libdispatch/placement.cpp
@@ -134,6 +134,7 @@
             pairs.emplace(fill.image, serving.image);
     }
     std::vector<TailWeight> weights;
+    weights.reserve(pairs.size());
     for (const auto &[filling, serving] : pairs)
         weights.push_back({filling, serving, tails.weight(filling, serving)});
     return weights;
