Tests: a lasting job is stopped by its cancellation, without a change of owner

Cause: the mutant that leaves runs of a cancelled job alone passed: the only lasting job that was cancelled in a test had a new owner, which stops such runs on its own.

--- a/src/libdispatch/dispatch_test.cpp
+++ b/src/libdispatch/dispatch_test.cpp
@@ -203,6 +203,18 @@
     CHECK(cell.activeRuns() == 0);
 }
 
+TEST_CASE("a lasting job is stopped by its cancellation")
+{
+    PlayedCell cell(10, 4, {});
+    cell.submit(lasting("watch"));
+    cell.play(Milliseconds(1500));
+    CHECK(cell.activeRuns() == 3);
+    cell.cancel("watch");
+    // A poll and the stop itself; the platform allows 3 s.
+    cell.play(Milliseconds(1500));
+    CHECK(cell.activeRuns() == 0);
+}
+
 TEST_CASE("a closed data centre gets no new run")
 {
     PlayedCell cell(5, 4, {});
