--- a/src/libdispatch/placement.cpp
+++ b/src/libdispatch/placement.cpp
@@ -20,9 +20,10 @@
 
 /// A filling task goes only where it would keep this share of its pace.
 constexpr double leastPace = 0.4;
-/// Headroom that is kept free, since figures are rough and loads swing.
+/// Headroom at the target: what a serving task has above it may go to fills. Agents keep a margin.
 constexpr double spareHeadroom = 1.0;
-/// Share of their declared processors that tasks other than fills use at most, roughly.
+/// Share of their declared processors that tasks other than fills use on average, as measured on
+/// both sites; fills get the rest.
 constexpr double usedShare = 0.65;
 
 bool hasLabel(const MinionView &view, const std::string &label)
