--- a/src/libdispatch/placement.cpp
+++ b/src/libdispatch/placement.cpp
@@ -22,8 +22,8 @@
 constexpr double leastPace = 0.4;
 /// Headroom at the target: what a serving task has above it may go to fills. Agents keep a margin.
 constexpr double spareHeadroom = 1.0;
-/// Share of their declared processors that tasks other than fills use on average, as measured on
-/// both sites; fills get the rest.
+/// Share of their declared processors that tasks other than fills use at the peak of their load, as
+/// measured on both sites; fills get the rest.
 constexpr double usedShare = 0.65;
 
 bool hasLabel(const MinionView &view, const std::string &label)
