Dispatch: one piece for what stood twice

Cause, from a read of the whole change: a minion's expected pace was computed twice for each task and minion (eligibility, then score); the four fields that describe a run were copied in four places; stopping a run stood in five, the walk over all tasks of a job in two, the test for a cancellation row in four, and two files had a copy of std::to_string and of the avoidance time. MinionView::fillCores could be derived from the fills.

Change: placementScore answers nothing for a minion that may not be used and computes the pace once; describedOrder, LocalRun::describe, CellDispatcher::stop, JobModel::forEachTask and step, cells::cancelledJob, isFresh; fillCores is a sum.

--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -95,6 +95,8 @@
     void attach(MinionView &view, const StepSpec &step, const RunKey &run);
     void detach(MinionView &view, const StepSpec &step, const RunKey &run);
     void orderStop(MinionView &view, const RunKey &run, std::int64_t &stopOrder);
+    /// The task runs on until its end is reported.
+    void stop(MinionView &view, const RunKey &run, TaskState &task);
     void stopActive(JobModel &job);
     void send(MinionView &view, RunOrder order, std::int64_t &sequence);
 
--- a/src/include/lavenderarch/dispatch/cell_tables.h
+++ b/src/include/lavenderarch/dispatch/cell_tables.h
@@ -5,6 +5,8 @@
 #include "lavenderarch/dispatch/job_spec.h"
 #include "lavenderarch/storage/row_write.h"
 
+#include <optional>
+
 namespace lavenderarch::cells {
 
 inline constexpr const char *jobTable = "lav-job";
@@ -14,14 +16,14 @@
 inline constexpr const char *tailsKey = "tails";
 inline constexpr const char *ownerTable = "lav-owner";
 inline constexpr const char *ownerKey = "owner";
-/// Rows of jobTable whose key starts so ask for a job's cancellation.
-inline constexpr const char *cancelPrefix = "cancel/";
 
 /// Partition of what entries write: the owner's commits never wait behind acceptances.
 std::string inbox(const std::string &cell);
 
 RowKey jobKey(const std::string &cell, const std::string &job);
 RowKey cancelKey(const std::string &cell, const std::string &job);
+/// The job whose cancellation a row of jobTable asks for; nothing for a job's own row.
+std::optional<std::string> cancelledJob(const RowKey &key);
 /// State at acceptance, written by an entry; the owner's later states are under stateKey.
 RowKey queuedKey(const std::string &cell, const std::string &job);
 RowKey stateKey(const std::string &cell, const std::string &job);
--- a/src/include/lavenderarch/dispatch/job_model.h
+++ b/src/include/lavenderarch/dispatch/job_model.h
@@ -31,6 +31,12 @@
     /// Creates the occurrences that are due at `timeOfDayMs`; true when one was added.
     bool addDueOccurrences(std::int64_t timeOfDayMs);
 
+    /// Calls `visit` with the name and the state of each task that exists.
+    template <typename Visit>
+    void forEachTask(Visit visit);
+    /// The step of a task, which is one of this job.
+    const StepSpec &step(const TaskName &task) const;
+
     TaskState *find(const TaskName &name);
     TaskName name(int occurrence, int step, int index) const;
     /// True when all steps that `step` waits for are done in that occurrence.
@@ -58,6 +64,18 @@
     std::map<int, Occurrence> m_occurrences;
 };
 
+template <typename Visit>
+void JobModel::forEachTask(Visit visit)
+{
+    for (auto &[number, occurrence] : m_occurrences) {
+        for (std::size_t step = 0; step < occurrence.size(); ++step) {
+            for (std::size_t index = 0; index < occurrence[step].size(); ++index)
+                visit(name(number, static_cast<int>(step), static_cast<int>(index)),
+                      occurrence[step][index]);
+        }
+    }
+}
+
 /// The step of the run's task, which is one of `job`.
 const StepSpec &stepOf(const JobModel &job, const RunKey &run);
 
--- a/src/include/lavenderarch/dispatch/minion_view.h
+++ b/src/include/lavenderarch/dispatch/minion_view.h
@@ -36,8 +36,7 @@
     std::map<std::int64_t, bool> ends; ///< ends above endsSeen: whether they are stored
     std::vector<RunKey> absentSeen;    ///< stored Absent ends to confirm with the next answer
 
-    Resources used;             ///< demand of `runs` that counts against capacity
-    std::int64_t fillCores = 0; ///< thousandths of a core that filling tasks here would use
+    Resources used;                       ///< demand of `runs` that counts against capacity
     std::map<RunKey, ServingRun> serving; ///< the runs with a tail target
     std::map<RunKey, FillingRun> fills;   ///< the runs that fill
     bool tailsHigh = false;               ///< some serving run is over its target
--- a/src/include/lavenderarch/dispatch/run_ledger.h
+++ b/src/include/lavenderarch/dispatch/run_ledger.h
@@ -39,6 +39,9 @@
         double load = 0;
         BootTime overSince{}; ///< since when a serving run's tail is near or over its target
         std::string checkpoint;
+
+        /// Takes over what an order says of the run.
+        void describe(const RunOrder &order);
     };
     /// The lease as the minion is to be told it.
     struct Lease
--- a/src/libdispatch/cell_dispatcher.cpp
+++ b/src/libdispatch/cell_dispatcher.cpp
@@ -57,7 +57,7 @@
                           BootTime now)
 {
     for (const Row &row : jobs) {
-        if (row.key.key.rfind(cells::cancelPrefix, 0) != 0)
+        if (!cells::cancelledJob(row.key))
             addJob(row);
     }
     for (const Row &row : progress) {
@@ -71,30 +71,23 @@
         m_stored[row.key.key] = job->second.phase();
     }
     for (auto &[id, job] : m_jobs) {
-        for (auto &[number, occurrence] : job.occurrences()) {
-            for (std::size_t step = 0; step < occurrence.size(); ++step) {
-                for (std::size_t index = 0; index < occurrence[step].size(); ++index) {
-                    TaskState &task = occurrence[step][index];
-                    if (!task.active())
-                        continue;
-                    const TaskName name =
-                        job.name(number, static_cast<int>(step), static_cast<int>(index));
-                    MinionView &view = m_minions[task.agent];
-                    view.agent = task.agent;
-                    view.leaseFrom = now;
-                    task.placedAt = now;
-                    task.progressAt = now;
-                    attach(view, job.spec().steps[step], {name.text(), task.run});
-                }
-            }
-        }
+        job.forEachTask([&, &job = job](const TaskName &name, TaskState &task) {
+            if (!task.active())
+                return;
+            MinionView &view = m_minions[task.agent];
+            view.agent = task.agent;
+            view.leaseFrom = now;
+            task.placedAt = now;
+            task.progressAt = now;
+            attach(view, job.step(name), {name.text(), task.run});
+        });
         if (job.settled())
             m_endedAt[id] = now;
         if (isFinal(job.phase()))
             m_open.erase({job.spec().priority, job.spec().acceptedMs, id});
     }
     for (const Row &row : jobs) {
-        if (row.key.key.rfind(cells::cancelPrefix, 0) == 0)
+        if (cells::cancelledJob(row.key))
             applyJobRow(row, now);
     }
     for (auto &[id, job] : m_jobs) {
@@ -130,8 +123,8 @@
 {
     if (row.removed)
         return;
-    if (row.key.key.rfind(cells::cancelPrefix, 0) == 0)
-        cancelJob(row.key.key.substr(std::string(cells::cancelPrefix).size()), now);
+    if (const auto cancelled = cells::cancelledJob(row.key))
+        cancelJob(*cancelled, now);
     else
         addJob(row);
 }
@@ -298,24 +291,20 @@
     send(view, std::move(order), stopOrder);
 }
 
+void CellDispatcher::stop(MinionView &view, const RunKey &run, TaskState &task)
+{
+    task.phase = TaskPhase::Stopping;
+    // A start that is not released yet turns into a stop when its commit is stored.
+    if (task.startOrder >= 0)
+        orderStop(view, run, task.stopOrder);
+}
+
 void CellDispatcher::stopActive(JobModel &job)
 {
-    for (auto &[number, occurrence] : job.occurrences()) {
-        for (std::size_t step = 0; step < occurrence.size(); ++step) {
-            for (std::size_t index = 0; index < occurrence[step].size(); ++index) {
-                TaskState &task = occurrence[step][index];
-                if (task.phase != TaskPhase::Placed)
-                    continue;
-                task.phase = TaskPhase::Stopping;
-                const RunKey run{
-                    job.name(number, static_cast<int>(step), static_cast<int>(index)).text(),
-                    task.run};
-                // A start that is not released yet turns into a stop when its commit is stored.
-                if (task.startOrder >= 0)
-                    orderStop(m_minions[task.agent], run, task.stopOrder);
-            }
-        }
-    }
+    job.forEachTask([&](const TaskName &name, TaskState &task) {
+        if (task.phase == TaskPhase::Placed)
+            stop(m_minions[task.agent], {name.text(), task.run}, task);
+    });
 }
 
 } // namespace lavenderarch
--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -16,20 +16,9 @@
 /// Failures of this many jobs without a success between them make a minion suspect.
 constexpr std::size_t suspectJobs = 2;
 constexpr Milliseconds failureMemory{6000};
-/// First and longest time for which a suspect minion is avoided; doubles each time.
-constexpr std::int64_t firstAvoidMs = 3000;
+/// Longest time for which a suspect minion is avoided; doubles each time from firstAvoidMs on.
 constexpr std::int64_t longestAvoidMs = 12'000;
 
-bool isFresh(const MinionView &view, BootTime now)
-{
-    return now - view.lastHeard <= freshFor;
-}
-
-std::string numberText(std::int64_t number)
-{
-    return std::to_string(number);
-}
-
 } // namespace
 
 void CellDispatcher::take(const ExchangeRequest &request, BootTime now, bool mayGrant)
@@ -148,11 +137,9 @@
         // Starts name the minion by its id: one that had no answer may have reached the new life.
         // A stop there settles it, and forbids the run number from then on.
         note("minion began a new life; stopping the run there for certainty",
-             {{"task", run.task}, {"run", numberText(run.number)}, {"agent", view.agent}});
+             {{"task", run.task}, {"run", std::to_string(run.number)}, {"agent", view.agent}});
         task->life = view.facts.life;
-        task->phase = TaskPhase::Stopping;
-        if (task->startOrder >= 0)
-            orderStop(view, run, task->stopOrder);
+        stop(view, run, *task);
         markDirty(*job);
     }
 }
@@ -225,7 +212,7 @@
             if (view.extraStopped.insert(report.run).second) {
                 note("stop of a run that is not expected here",
                      {{"task", report.run.task},
-                      {"run", numberText(report.run.number)},
+                      {"run", std::to_string(report.run.number)},
                       {"agent", view.agent}});
                 std::int64_t sequence = 0;
                 orderStop(view, report.run, sequence);
@@ -248,15 +235,8 @@
             task->checkpoint = report.checkpoint;
         if (report.undescribed) {
             const auto &step = stepOf(*job, report.run);
-            RunOrder order;
-            order.kind = OrderKind::Describe;
-            order.run = report.run;
-            order.fills = step.fills;
-            order.tailTargetMs = step.tailTargetMs;
-            order.image = step.image;
-            order.milliCores = step.demand.milliCores();
             std::int64_t sequence = 0;
-            send(view, std::move(order), sequence);
+            send(view, describedOrder(OrderKind::Describe, report.run, step), sequence);
         }
     }
     learnTails(view, request, now);
@@ -283,9 +263,8 @@
         if (stopPending)
             continue;
         note("run is missing at its minion; stopping it for certainty",
-             {{"task", run.task}, {"run", numberText(run.number)}, {"agent", view.agent}});
-        task->phase = TaskPhase::Stopping;
-        orderStop(view, run, task->stopOrder);
+             {{"task", run.task}, {"run", std::to_string(run.number)}, {"agent", view.agent}});
+        stop(view, run, *task);
     }
 }
 
@@ -303,16 +282,16 @@
 void CellDispatcher::finishRun(JobModel &job, TaskState &task, const RunEnd &end, BootTime now)
 {
     const auto name = TaskName::parse(end.run.task);
-    const StepSpec &step = job.spec().steps[static_cast<std::size_t>(name->step)];
+    const StepSpec &step = job.step(*name);
     const auto view = m_minions.find(task.agent);
     if (view != m_minions.end())
         detach(view->second, step, end.run);
     note("run ended", {{"task", end.run.task},
-                       {"run", numberText(end.run.number)},
+                       {"run", std::to_string(end.run.number)},
                        {"outcome", Json(end.outcome).get<std::string>()},
                        {"agent", task.agent},
                        {"reason", end.reason},
-                       {"ranMs", numberText((now - task.placedAt).count())}});
+                       {"ranMs", std::to_string((now - task.placedAt).count())}});
     if (!end.checkpoint.empty())
         task.checkpoint = end.checkpoint;
     task.phase = TaskPhase::Waiting;
@@ -360,8 +339,8 @@
     view.avoidUntil = now + Milliseconds(view.avoidMs);
     note("minion is avoided: tasks of several jobs failed there",
          {{"agent", view.agent},
-          {"jobs", numberText(static_cast<std::int64_t>(view.failedJobs.size()))},
-          {"forMs", numberText(view.avoidMs)}});
+          {"jobs", std::to_string(view.failedJobs.size())},
+          {"forMs", std::to_string(view.avoidMs)}});
 }
 
 void CellDispatcher::tick(BootTime now, std::int64_t timeOfDayMs)
@@ -372,8 +351,8 @@
         if (!view.runs.empty() && now - view.leaseFrom > lease + leaseMargin) {
             note("lease of a silent minion has lapsed",
                  {{"agent", agent},
-                  {"leaseAgeMs", numberText((now - view.leaseFrom).count())},
-                  {"heardMsAgo", numberText((now - view.lastHeard).count())}});
+                  {"leaseAgeMs", std::to_string((now - view.leaseFrom).count())},
+                  {"heardMsAgo", std::to_string((now - view.lastHeard).count())}});
             loseRuns(view, "the lease lapsed", now);
             view.registered = false;
         }
--- a/src/libdispatch/cell_dispatcher_placement.cpp
+++ b/src/libdispatch/cell_dispatcher_placement.cpp
@@ -33,7 +33,6 @@
     if (!view.runs.insert(run).second)
         return;
     view.used = view.used + counted(step);
-    view.fillCores += step.fills ? step.demand.milliCores() : 0;
     if (step.tailTargetMs > 0)
         view.serving[run].image = step.image;
     if (step.fills)
@@ -46,7 +45,6 @@
     if (view.runs.erase(run) == 0)
         return;
     view.used = view.used - counted(step);
-    view.fillCores -= step.fills ? step.demand.milliCores() : 0;
     view.serving.erase(run);
     view.fills.erase(run);
 }
@@ -178,12 +176,10 @@
     MinionView *best = nullptr;
     double bestScore = 0;
     for (auto &[agent, view] : m_minions) {
-        if (!isEligible(view, request, now))
-            continue;
-        const double score = placementScore(view, request, now);
-        if (best == nullptr || score > bestScore) {
+        const auto score = placementScore(view, request, now);
+        if (score && (best == nullptr || *score > bestScore)) {
             best = &view;
-            bestScore = score;
+            bestScore = *score;
         }
     }
     return best;
@@ -192,7 +188,7 @@
 void CellDispatcher::place(JobModel &job, const TaskName &name, MinionView &view, BootTime now)
 {
     TaskState &task = *job.find(name);
-    const StepSpec &step = job.spec().steps[static_cast<std::size_t>(name.step)];
+    const StepSpec &step = job.step(name);
     task.phase = TaskPhase::Placed;
     ++task.run;
     task.agent = view.agent;
@@ -204,15 +200,9 @@
     task.progressAt = now;
     task.pacePercent = 100;
     task.slowedAt = {};
-    RunOrder order;
-    order.kind = OrderKind::Start;
-    order.run = {name.text(), task.run};
+    RunOrder order = describedOrder(OrderKind::Start, {name.text(), task.run}, step);
     order.payload = job.spec().payload;
     order.checkpoint = task.checkpoint;
-    order.fills = step.fills;
-    order.tailTargetMs = step.tailTargetMs;
-    order.image = step.image;
-    order.milliCores = step.demand.milliCores();
     attach(view, step, order.run);
     note("run placed", {{"task", order.run.task},
                         {"run", std::to_string(task.run)},
--- a/src/libdispatch/cell_dispatcher_watch.cpp
+++ b/src/libdispatch/cell_dispatcher_watch.cpp
@@ -11,8 +11,6 @@
 /// A run whose progress has not moved for this long stands still. Agents report every second.
 constexpr Milliseconds stalledAfter{3000};
 constexpr Milliseconds fillStalledAfter{6000};
-/// A suspect minion is avoided for this long.
-constexpr Milliseconds avoidFor{3000};
 /// The figures of tails cover half a second.
 constexpr Milliseconds tailInterval{450};
 /// Weight of one look in the average headroom: loads swing within ten seconds or so.
@@ -24,11 +22,6 @@
 constexpr int mostMoves = 3;
 constexpr int littleProgress = 15;
 
-std::string numberText(std::int64_t number)
-{
-    return std::to_string(number);
-}
-
 /// Shares of the minion's processors in use by each image that fills, by the newest report.
 FillShares sharesInUse(const MinionView &view, const ExchangeRequest &request)
 {
@@ -88,12 +81,11 @@
         note("filling run is slowed; stopping it for a better place",
              {{"task", run.task},
               {"agent", view.agent},
-              {"pace", numberText(task->pacePercent)},
-              {"percent", numberText(task->progressPercent)}});
+              {"pace", std::to_string(task->pacePercent)},
+              {"percent", std::to_string(task->progressPercent)}});
         ++task->moves;
-        task->phase = TaskPhase::Stopping;
         task->failedAgent = view.agent;
-        orderStop(view, run, task->stopOrder);
+        stop(view, run, *task);
     }
 }
 
@@ -103,8 +95,7 @@
     const MinionView *view =
         choose(job, name.occurrence, static_cast<std::size_t>(name.step), task, now);
     return view != nullptr && view->agent != task.agent &&
-           expectedPace(*view, job.spec().steps[static_cast<std::size_t>(name.step)], m_tails) >=
-               betterPace;
+           expectedPace(*view, job.step(name), m_tails) >= betterPace;
 }
 
 void CellDispatcher::findStalled(MinionView &view, BootTime now)
@@ -119,14 +110,13 @@
             continue;
         note("run stands still; stopping it",
              {{"task", run.task},
-              {"run", numberText(run.number)},
+              {"run", std::to_string(run.number)},
               {"agent", view.agent},
-              {"percent", numberText(task->progressPercent)},
-              {"stillMs", numberText((now - task->progressAt).count())}});
-        task->phase = TaskPhase::Stopping;
+              {"percent", std::to_string(task->progressPercent)},
+              {"stillMs", std::to_string((now - task->progressAt).count())}});
         task->failedAgent = view.agent;
-        view.avoidUntil = std::max(view.avoidUntil, now + avoidFor);
-        orderStop(view, run, task->stopOrder);
+        view.avoidUntil = std::max(view.avoidUntil, now + Milliseconds(firstAvoidMs));
+        stop(view, run, *task);
     }
 }
 
--- a/src/libdispatch/cell_tables.cpp
+++ b/src/libdispatch/cell_tables.cpp
@@ -4,6 +4,12 @@
 #include "lavenderarch/dispatch/job_state_row.h"
 
 namespace lavenderarch::cells {
+namespace {
+
+/// Rows of jobTable whose key starts so ask for a job's cancellation.
+const std::string cancelPrefix = "cancel/";
+
+} // namespace
 
 std::string inbox(const std::string &cell)
 {
@@ -20,6 +26,13 @@
     return {jobTable, inbox(cell), cancelPrefix + job};
 }
 
+std::optional<std::string> cancelledJob(const RowKey &key)
+{
+    if (key.key.rfind(cancelPrefix, 0) != 0)
+        return std::nullopt;
+    return key.key.substr(cancelPrefix.size());
+}
+
 RowKey queuedKey(const std::string &cell, const std::string &job)
 {
     return {stateTable, inbox(cell), job};
--- a/src/libdispatch/job_model.cpp
+++ b/src/libdispatch/job_model.cpp
@@ -75,6 +75,11 @@
     return added;
 }
 
+const StepSpec &JobModel::step(const TaskName &task) const
+{
+    return m_spec.steps[static_cast<std::size_t>(task.step)];
+}
+
 TaskState *JobModel::find(const TaskName &name)
 {
     const auto occurrence = m_occurrences.find(name.occurrence);
@@ -131,7 +136,7 @@
 
 const StepSpec &stepOf(const JobModel &job, const RunKey &run)
 {
-    return job.spec().steps[static_cast<std::size_t>(TaskName::parse(run.task)->step)];
+    return job.step(*TaskName::parse(run.task));
 }
 
 std::string JobModel::progressText() const
--- a/src/libdispatch/placement.cpp
+++ b/src/libdispatch/placement.cpp
@@ -78,26 +78,15 @@
     return 2 * static_cast<double>(alike) / static_cast<double>(view.serving.size()) - 1;
 }
 
-} // namespace
-
-Resources counted(const StepSpec &step)
-{
-    return {step.fills ? 0 : step.demand.milliCores(), step.demand.memoryMib(),
-            step.demand.accelerators()};
-}
-
+/// All that forbids the task here but the pace that it would keep.
 bool isEligible(const MinionView &view, const PlacementRequest &request, BootTime now)
 {
     const MinionFacts &facts = view.facts;
-    if (!view.registered || !view.reachable || facts.draining || now - view.lastHeard > freshFor)
+    if (!view.registered || !view.reachable || facts.draining || !isFresh(view, now))
         return false;
     if (facts.service != request.job->service ||
         request.closedDataCentres->count(facts.dataCentre) != 0)
         return false;
-    if (request.step->fills &&
-        (view.tailsHigh || expectedPace(view, *request.step, *request.tails) < leastPace) &&
-        !request.idleJob)
-        return false;
     if (!request.step->requiredLabel.empty() && !hasLabel(view, request.step->requiredLabel))
         return false;
     const auto same = request.sameStep->find(view.agent);
@@ -107,6 +96,66 @@
     return (taken(view) + counted(*request.step)).fitsInto(facts.capacity);
 }
 
+/// Thousandths of a core that the fills would use at full pace.
+std::int64_t fillCores(const MinionView &view)
+{
+    std::int64_t sum = 0;
+    for (const auto &[run, fill] : view.fills)
+        sum += fill.milliCores;
+    return sum;
+}
+
+/// Thousandths of a core that tasks other than fills have not declared.
+std::int64_t unusedCores(const MinionView &view)
+{
+    return view.facts.capacity.milliCores() - taken(view).milliCores();
+}
+
+double scoreOfFill(const MinionView &view, const PlacementRequest &request, double pace)
+{
+    const std::int64_t left = unusedCores(view) - fillCores(view);
+    return paceWeight * pace + share(left, view.facts.capacity.milliCores()) -
+           pressureWeight * pressureOfFill(view, *request.step, *request.tails);
+}
+
+double scoreOfServing(const MinionView &view, const PlacementRequest &request)
+{
+    const std::string &image = request.step->image;
+    const double unused = share(unusedCores(view), view.facts.capacity.milliCores());
+    return packWeight * (1 - unused) + serveBesideAlike * alikeness(view, image) -
+           pressureToServe * request.tails->pressure(image, fullShares(view));
+}
+
+double scoreOfPlain(const MinionView &view)
+{
+    const Resources &capacity = view.facts.capacity;
+    const double cores = share(unusedCores(view), capacity.milliCores());
+    const double memory =
+        share(capacity.memoryMib() - taken(view).memoryMib(), capacity.memoryMib());
+    return std::min(cores, memory) + (view.serving.empty() ? 0 : plainBesideServing) -
+           share(fillCores(view), capacity.milliCores());
+}
+
+} // namespace
+
+Resources counted(const StepSpec &step)
+{
+    return {step.fills ? 0 : step.demand.milliCores(), step.demand.memoryMib(),
+            step.demand.accelerators()};
+}
+
+RunOrder describedOrder(OrderKind kind, const RunKey &run, const StepSpec &step)
+{
+    RunOrder order;
+    order.kind = kind;
+    order.run = run;
+    order.fills = step.fills;
+    order.tailTargetMs = step.tailTargetMs;
+    order.image = step.image;
+    order.milliCores = step.demand.milliCores();
+    return order;
+}
+
 double expectedPace(const MinionView &view, const StepSpec &step, const TailModel &tails)
 {
     const auto capacity = static_cast<double>(view.facts.capacity.milliCores());
@@ -114,7 +163,7 @@
     if (capacity <= 0 || wanted <= 0)
         return 1;
     const double used = usedShare * static_cast<double>(taken(view).milliCores());
-    double pace = (capacity - used - static_cast<double>(view.fillCores)) / wanted;
+    double pace = (capacity - used - static_cast<double>(fillCores(view))) / wanted;
     const FillShares shares = fullShares(view);
     for (const auto &[run, serving] : view.serving) {
         if (serving.typical <= 0)
@@ -141,26 +190,20 @@
     return weights;
 }
 
-double placementScore(const MinionView &view, const PlacementRequest &request, BootTime now)
+std::optional<double> placementScore(const MinionView &view, const PlacementRequest &request,
+                                     BootTime now)
 {
-    const Resources &capacity = view.facts.capacity;
-    const Resources used = taken(view);
+    if (!isEligible(view, request, now))
+        return std::nullopt;
     const StepSpec &step = *request.step;
-    const std::int64_t unused = capacity.milliCores() - used.milliCores();
     double score = 0;
     if (step.fills) {
-        score = paceWeight * expectedPace(view, step, *request.tails);
-        score += share(unused - view.fillCores, capacity.milliCores());
-        score -= pressureWeight * pressureOfFill(view, step, *request.tails);
-    } else if (step.tailTargetMs > 0) {
-        score = packWeight * (1 - share(unused, capacity.milliCores()));
-        score += serveBesideAlike * alikeness(view, step.image);
-        score -= pressureToServe * request.tails->pressure(step.image, fullShares(view));
+        const double pace = expectedPace(view, step, *request.tails);
+        if (!request.idleJob && (view.tailsHigh || pace < leastPace))
+            return std::nullopt;
+        score = scoreOfFill(view, request, pace);
     } else {
-        const double memory = share(capacity.memoryMib() - used.memoryMib(), capacity.memoryMib());
-        score = std::min(share(unused, capacity.milliCores()), memory);
-        score += view.serving.empty() ? 0 : plainBesideServing;
-        score -= share(view.fillCores, capacity.milliCores());
+        score = step.tailTargetMs > 0 ? scoreOfServing(view, request) : scoreOfPlain(view);
     }
     if (!step.preferredRack.empty() && hasLabel(view, step.preferredRack))
         score += rackWeight;
--- a/src/libdispatch/placement.h
+++ b/src/libdispatch/placement.h
@@ -13,6 +13,9 @@
 /// A minion that has not been heard of for this long gets no new run. Agents poll every second.
 inline constexpr Milliseconds freshFor{1800};
 
+/// Time for which a minion is avoided on the first suspicion.
+inline constexpr std::int64_t firstAvoidMs = 3000;
+
 /// What a step needs that does not depend on the minion.
 struct PlacementRequest
 {
@@ -30,8 +33,14 @@
 /// What `step` takes of a minion's capacity: filling tasks use only processors left over.
 Resources counted(const StepSpec &step);
 
-/// True when the minion may be given the task now.
-bool isEligible(const MinionView &view, const PlacementRequest &request, BootTime now);
+/// True when the minion was heard of lately enough for a new run.
+inline bool isFresh(const MinionView &view, BootTime now)
+{
+    return now - view.lastHeard <= freshFor;
+}
+
+/// An order that tells the agent what the run is, with all that follows from its step.
+RunOrder describedOrder(OrderKind kind, const RunKey &run, const StepSpec &step);
 
 /// Share of its full pace, 0 to 1, that a task which fills would keep on the minion with all
 /// serving tasks there under their targets.
@@ -40,7 +49,8 @@
 /// Weights of the images that fill or serve on the minion.
 std::vector<TailWeight> weightsOf(const MinionView &view, const TailModel &tails);
 
-/// Higher is better; only for eligible minions.
-double placementScore(const MinionView &view, const PlacementRequest &request, BootTime now);
+/// Higher is better; nothing when the minion may not be given the task now.
+std::optional<double> placementScore(const MinionView &view, const PlacementRequest &request,
+                                     BootTime now);
 
 } // namespace lavenderarch
--- a/src/libdispatch/run_ledger.cpp
+++ b/src/libdispatch/run_ledger.cpp
@@ -20,6 +20,15 @@
 {
 }
 
+void RunLedger::LocalRun::describe(const RunOrder &order)
+{
+    described = true;
+    fills = order.fills;
+    tailTargetMs = order.tailTargetMs;
+    image = order.image;
+    milliCores = order.milliCores;
+}
+
 void RunLedger::clearLife()
 {
     m_runs.clear();
@@ -103,21 +112,14 @@
             }
             LocalRun run;
             run.since = now;
-            run.fills = order.fills;
-            run.tailTargetMs = order.tailTargetMs;
-            run.image = order.image;
-            run.milliCores = order.milliCores;
+            run.describe(order);
             m_runs.insert_or_assign(order.run, run);
         } else if (order.kind == OrderKind::Stop) {
             LocalRun &run = m_runs.try_emplace(order.run).first->second;
             if (std::exchange(run.stopWanted, true))
                 continue; // it is being carried out, or confirmed
         } else if (const auto run = m_runs.find(order.run); run != m_runs.end()) {
-            run->second.described = true;
-            run->second.fills = order.fills;
-            run->second.tailTargetMs = order.tailTargetMs;
-            run->second.image = order.image;
-            run->second.milliCores = order.milliCores;
+            run->second.describe(order);
         }
         if (order.kind != OrderKind::Describe)
             accepted.push_back(order);
