--- a/src/include/lavenderarch/api/shutdown_signal.h
+++ b/src/include/lavenderarch/api/shutdown_signal.h
@@ -1,7 +1,7 @@
 // Turns SIGTERM and SIGINT into an event that threads can wait for.
 #pragma once
 
-#include "lavenderarch/core/time.h"
+#include "lavenderarch/core/blocked_signals.h"
 
 namespace lavenderarch {
 
@@ -15,6 +15,7 @@
     bool waitFor(Milliseconds timeout);
 
 private:
+    BlockedSignals m_signals;
     bool m_received = false;
 };
 
--- a/src/include/lavenderarch/runtime/process_signals.h
+++ b/src/include/lavenderarch/runtime/process_signals.h
@@ -1,7 +1,7 @@
 // The signals that a daemon answers: stop and reload.
 #pragma once
 
-#include "lavenderarch/core/time.h"
+#include "lavenderarch/core/blocked_signals.h"
 
 namespace lavenderarch {
 
@@ -15,6 +15,9 @@
 
     /// The next signal, or None after `timeout`.
     ProcessSignal waitFor(Milliseconds timeout) const;
+
+private:
+    BlockedSignals m_signals;
 };
 
 } // namespace lavenderarch
--- a/platform/wire_text.cpp
+++ b/src/libhttp/percent_encode.cpp
@@ -1,11 +1,11 @@
-// URL encoding by CivetWeb.
-#include "wire_text.h"
+// Percent-encoding by CivetWeb.
+#include "lavenderarch/http/percent_encode.h"
 
 #include <civetweb.h>
 
-namespace lavenderarch::platform {
+namespace lavenderarch {
 
-std::string urlEncoded(const std::string &text)
+std::string percentEncode(const std::string &text)
 {
     // Each byte takes at most three characters, and the library ends the text with a zero.
     std::string encoded(text.size() * 3 + 1, '\0');
@@ -14,4 +14,4 @@
     return encoded;
 }
 
-} // namespace lavenderarch::platform
+} // namespace lavenderarch
--- a/src/libstorage/http_object_store.cpp
+++ b/src/libstorage/http_object_store.cpp
@@ -1,6 +1,7 @@
 // Object store over HTTP. The wire format is documented in docs/PLATFORM.md.
 #include "lavenderarch/storage/http_object_store.h"
 
+#include "lavenderarch/http/percent_encode.h"
 #include "store_http.h"
 
 namespace lavenderarch {
--- a/src/libstorage/http_table.cpp
+++ b/src/libstorage/http_table.cpp
@@ -2,6 +2,7 @@
 #include "lavenderarch/storage/http_table.h"
 
 #include "lavenderarch/http/http_client.h"
+#include "lavenderarch/http/percent_encode.h"
 #include "store_http.h"
 
 namespace lavenderarch {
@@ -19,7 +20,7 @@
         exchangeWithStore(m_client, m_address, request, deadline, Resend::OnClosedConnection);
     if (!response.ok())
         return makeError(ErrorKind::StoreUnavailable, messageOf(response.status()));
-    return parseStoreBody<TableRow>(response->body, "table row");
+    return parseAs<TableRow>(response->body, "table row");
 }
 
 StatusOr<std::vector<TableRow>> HttpTable::scan(const std::string &prefix, TimePoint deadline)
@@ -29,7 +30,7 @@
         exchangeWithStore(m_client, m_address, request, deadline, Resend::OnClosedConnection);
     if (!response.ok())
         return makeError(ErrorKind::StoreUnavailable, messageOf(response.status()));
-    return parseStoreBody<std::vector<TableRow>>(response->body, "table rows");
+    return parseAs<std::vector<TableRow>>(response->body, "table rows");
 }
 
 StatusOr<CommitResult> HttpTable::commit(const TableTransaction &change, TimePoint deadline)
@@ -38,7 +39,7 @@
     const auto response = exchangeWithStore(m_client, m_address, request, deadline, Resend::Never);
     if (!response.ok())
         return response.status();
-    return parseStoreBody<CommitResult>(response->body, "commit result");
+    return parseAs<CommitResult>(response->body, "commit result");
 }
 
 } // namespace lavenderarch
--- a/src/libstorage/http_workers.cpp
+++ b/src/libstorage/http_workers.cpp
@@ -19,7 +19,7 @@
         exchangeWithStore(m_client, m_address, request, deadline, Resend::OnClosedConnection);
     if (!response.ok())
         return response.status();
-    return parseStoreBody<std::vector<WorkerInfo>>(response->body, "worker list");
+    return parseAs<std::vector<WorkerInfo>>(response->body, "worker list");
 }
 
 StatusOr<WorkerReport> HttpWorkers::report(const WorkerId &worker, TimePoint deadline)
@@ -29,7 +29,7 @@
         exchangeWithStore(m_client, m_address, request, deadline, Resend::OnClosedConnection);
     if (!response.ok())
         return response.status();
-    return parseStoreBody<WorkerReport>(response->body, "worker report");
+    return parseAs<WorkerReport>(response->body, "worker report");
 }
 
 StatusOr<std::vector<CommandResult>> HttpWorkers::send(const WorkerId &worker,
@@ -42,7 +42,7 @@
         exchangeWithStore(m_client, m_address, request, deadline, Resend::OnClosedConnection);
     if (!response.ok())
         return response.status();
-    return parseStoreBody<std::vector<CommandResult>>(response->body, "command results");
+    return parseAs<std::vector<CommandResult>>(response->body, "command results");
 }
 
 } // namespace lavenderarch
--- a/src/libstorage/store_http.cpp
+++ b/src/libstorage/store_http.cpp
@@ -1,19 +1,8 @@
 // HTTP exchange with the platform.
 #include "store_http.h"
 
-#include <array>
-#include <civetweb.h>
-
 namespace lavenderarch {
 
-std::string percentEncode(const std::string &text)
-{
-    std::string buffer(text.size() * 3 + 1, '\0');
-    const int length = mg_url_encode(text.c_str(), buffer.data(), buffer.size());
-    buffer.resize(static_cast<std::size_t>(length));
-    return buffer;
-}
-
 StatusOr<HttpResponse> exchangeWithStore(HttpClient &client, const Address &address,
                                          const HttpRequest &request, TimePoint deadline,
                                          Resend resend)
