--- a/testsuite/local_deployment.py
+++ b/testsuite/local_deployment.py
@@ -75,13 +75,14 @@
     return ports
 
 
-def wait_until(condition, timeout: float = START_TIMEOUT_S, what: str = "condition"):
+def wait_until(condition, timeout: float = START_TIMEOUT_S, what: str = "condition",
+               pause: float = 0.02):
     """Polls until the condition holds; raises when it does not in time."""
     end = time.monotonic() + timeout
     while time.monotonic() < end:
         if condition():
             return
-        time.sleep(0.02)
+        time.sleep(pause)
     raise TimeoutError(f"timed out waiting for {what}")
 
 
--- a/testsuite/platform_case.py
+++ b/testsuite/platform_case.py
@@ -1,17 +1,16 @@
 """The two platform programs against the stand-in of the platform, under seeded faults."""
-import http.client
+import itertools
 import json
 import os
 import random
 import signal
 import subprocess
-import sys
 import tempfile
 import time
 from typing import Dict, List, Optional
 
 from case_runner import run_cases
-from local_deployment import free_ports
+from local_deployment import Response, free_ports, request, wait_until
 from platform_stand_in import Minion, Store
 
 ENTRIES = 2
@@ -89,32 +88,22 @@
         for minion in self.minions:
             minion.server.shutdown()
 
-    def call(self, entry: int, method: str, job: str, body: Optional[dict] = None) -> tuple:
-        """Status and document; status 0: no answer."""
-        try:
-            connection = http.client.HTTPConnection("127.0.0.1", self.callers[entry], timeout=3)
-            connection.request(method, "/q/" + job, json.dumps(body) if body else None,
-                               {"Host": "h.example", "Content-Type": "application/json",
-                                "Lavenderarch-Request-Deadline": "2500"})
-            response = connection.getresponse()
-            text = response.read()
-            connection.close()
-            return response.status, json.loads(text) if text else {}
-        except (OSError, http.client.HTTPException, ValueError):
-            return 0, {}
+    def call(self, entry: int, method: str, job: str, body: Optional[dict] = None) -> Response:
+        return request(self.callers[entry], method, "/q/" + job,
+                       json.dumps(body).encode() if body else b"",
+                       {"Host": "h.example", "Content-Type": "application/json",
+                        "Lavenderarch-Request-Deadline": "2500"}, timeout=3)
 
     def ask(self, method: str, job: str, body: Optional[dict] = None, within_s: float = 20.0,
-            wanted=lambda status, document: status == 200) -> dict:
+            wanted=lambda answer: answer.status == 200) -> None:
         """Asks the entries in turn until one gives the wanted answer."""
-        until = time.monotonic() + within_s
-        turn, last = 0, (0, {})
-        while time.monotonic() < until:
-            last = self.call(turn % ENTRIES, method, job, body)
-            if wanted(*last):
-                return last[1]
-            turn += 1
-            time.sleep(0.1)
-        raise AssertionError(f"{method} {job}: last answer {last}; logs in {self.folder}")
+        turns = itertools.cycle(range(ENTRIES))
+        wait_until(lambda: wanted(self.call(next(turns), method, job, body)), within_s,
+                   f"{method} {job}; logs in {self.folder}", pause=0.1)
+
+    def await_state(self, job: str, state: str, within_s: float = 20.0) -> None:
+        self.ask("GET", job, within_s=within_s, wanted=lambda answer: answer.status == 200 and
+                 answer.json()["state"] == state)
 
     def submit(self, number: int) -> str:
         job = f"{number:016x}"
@@ -126,8 +115,7 @@
     def await_done(self, jobs: List[str], within_s: float) -> None:
         until = time.monotonic() + within_s
         for job in jobs:
-            self.ask("GET", job, within_s=max(until - time.monotonic(), 1),
-                     wanted=lambda status, document: document.get("state") == "done")
+            self.await_state(job, "done", max(until - time.monotonic(), 1))
 
     def check_runs(self, jobs: List[str]) -> None:
         """No task in two places at once, none again after a noted end, steps in order."""
@@ -157,7 +145,7 @@
         platform.check_runs(jobs)
         runs = sum(len(minion.history) for minion in platform.minions)
         assert runs == 30, f"{runs} runs of 30 tasks"
-        assert platform.call(0, "GET", "f" * 16)[0] == 410
+        assert platform.call(0, "GET", "f" * 16).status == 410
 
 
 def test_cancelled_job_ends(build: str) -> None:
@@ -165,15 +153,12 @@
         job = "c" * 16
         platform.ask("POST", job, {"spec": "60000", "steps": [
             {"count": 2, "cpu": 500, "memMb": 100, "estimateMs": 100, "longRunning": True}]})
-        platform.ask("GET", job, wanted=lambda status, document:
-                     document.get("state") == "running")
+        platform.await_state(job, "running")
         platform.ask("DELETE", job)
-        platform.ask("GET", job, wanted=lambda status, document:
-                     document.get("state") == "cancelled")
-        until = time.monotonic() + 10
-        while any(run["end"] is None for minion in platform.minions for run in minion.history):
-            assert time.monotonic() < until, "a run of a cancelled job goes on"
-            time.sleep(0.05)
+        platform.await_state(job, "cancelled")
+        wait_until(lambda: all(run["end"] for minion in platform.minions
+                               for run in minion.history),
+                   10, "the runs of a cancelled job to end", pause=0.05)
 
 
 def play_faults(platform: Platform, rng: random.Random) -> None:
--- a/testsuite/platform_stand_in.py
+++ b/testsuite/platform_stand_in.py
@@ -7,7 +7,8 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Callable, Dict, List, Optional, Tuple
 from urllib.parse import parse_qs, urlsplit
-import http.client
+
+from local_deployment import request
 
 
 class Silence(Exception):
@@ -212,19 +213,11 @@
                     "clockMs": self._clock(), "sequence": self._sequence, "born": self._born_ms})
                 up = self._up
             if up:
-                self._send(body)
+                # Without an answer the next check-in tries again.
+                request(self._control_port, "PUT", "/-/instances/" + self.name, body.encode(),
+                        {"Content-Type": "application/json"}, timeout=1)
             time.sleep(0.5)
 
-    def _send(self, body: str) -> None:
-        try:
-            connection = http.client.HTTPConnection("127.0.0.1", self._control_port, timeout=1)
-            connection.request("PUT", "/-/instances/" + self.name, body,
-                               {"Content-Type": "application/json"})
-            connection.getresponse().read()
-            connection.close()
-        except OSError:
-            return  # the agent is gone; the next check-in tries again
-
     def _handle(self, method, path, query, headers, body):
         call = json.loads(body)
         with self._lock:
