--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -234,12 +234,12 @@
         }
     }
 
-    StatusOr<std::int64_t> reloadJobs(std::optional<std::int64_t> &first)
+    StatusOr<ReloadedTable> reloadJobs(std::optional<std::int64_t> &first)
     {
         if (first) {
             const std::int64_t version = *first;
             first.reset();
-            return version;
+            return ReloadedTable{version, 0};
         }
         const auto rows =
             m_store.read(cells::jobTable, cells::inbox(m_cell), BootClock::now() + loadTimeout);
@@ -247,7 +247,7 @@
             return rows.status();
         for (const Row &row : rows->rows)
             applyJobRow(row);
-        return rows->version;
+        return ReloadedTable{rows->version, rows->rows.size()};
     }
 
     void applyJobRow(const Row &row)
--- /dev/null
+++ b/src/include/lavenderarch/runtime/job_state_reload.h
@@ -0,0 +1,38 @@
+// Reads the job states of several cells into a JobStateCache.
+#pragma once
+
+#include "lavenderarch/dispatch/cell_tables.h"
+#include "lavenderarch/runtime/job_state_cache.h"
+#include "lavenderarch/runtime/row_follower.h"
+
+#include <iterator>
+#include <optional>
+#include <set>
+
+namespace lavenderarch {
+
+/// Timeout of reading one partition of the state table.
+inline constexpr Milliseconds stateReadTimeout{3000};
+
+/// Replaces the contents of `states` by the stored states of the jobs of `cells`, unless a
+/// partition cannot be read.
+template <RowStore Store>
+StatusOr<ReloadedTable> reloadJobStates(Store &store, const std::set<std::string> &cells,
+                                        JobStateCache &states)
+{
+    std::vector<Row> rows;
+    std::optional<std::int64_t> version;
+    for (const std::string &cell : cells) {
+        auto part = store.read(cells::stateTable, cell, BootClock::now() + stateReadTimeout);
+        if (!part.ok())
+            return part.status();
+        // Following continues from the oldest version, so that no change between two reads is
+        // missed.
+        version = std::min(version.value_or(part->version), part->version);
+        std::move(part->rows.begin(), part->rows.end(), std::back_inserter(rows));
+    }
+    states.replace(rows);
+    return ReloadedTable{version.value_or(0), rows.size()};
+}
+
+} // namespace lavenderarch
--- a/src/include/lavenderarch/runtime/row_follower.h
+++ b/src/include/lavenderarch/runtime/row_follower.h
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <functional>
+#include <string>
 #include <thread>
 
 namespace lavenderarch {
@@ -17,14 +18,21 @@
 /// Delay before the next attempt after a failed call.
 inline constexpr Milliseconds followRetryPause{150};
 
-/// Runs from construction to destruction. `reload` reads all rows and returns the version to follow
-/// from, or an error; `change` handles one changed row. Both are called on the follower's thread.
+/// What a reload has read.
+struct ReloadedTable
+{
+    std::int64_t version = 0; ///< version to follow from
+    std::size_t rows = 0;
+};
+
+/// Runs from construction to destruction. `reload` reads all rows; `change` handles one changed
+/// row. Both are called on the follower's thread. A reload that fails is tried again.
 /// Thread-safe. Does not own the store, which must outlive it.
 template <RowStore Store>
 class RowFollower
 {
 public:
-    using Reload = std::function<StatusOr<std::int64_t>()>;
+    using Reload = std::function<StatusOr<ReloadedTable>()>;
     using Change = std::function<void(const Row &)>;
 
     RowFollower(Store &store, std::string table, Reload reload, Change change)
@@ -66,12 +74,9 @@
     Status followOnce()
     {
         if (!m_loaded || m_reloadRequested.exchange(false)) {
-            const auto version = m_reload();
-            if (!version.ok())
-                return version.status();
-            m_version = *version;
-            m_loaded = true;
-            m_lastAnswer = BootClock::now();
+            const Status reloaded = reload();
+            if (!reloaded.ok())
+                return reloaded;
         }
         const auto changes =
             m_store.follow(m_table, m_version, BootClock::now() + followWait + followSlack);
@@ -79,6 +84,7 @@
             logEvent(LogLevel::Info, "follower",
                      "change history no longer available; reloading the table",
                      {{"table", m_table}, {"version", std::to_string(m_version)}});
+            m_historyLost = true;
             m_reloadRequested = true;
             return absl::OkStatus();
         }
@@ -91,11 +97,33 @@
         return absl::OkStatus();
     }
 
+    Status reload()
+    {
+        const BootTime began = BootClock::now();
+        const auto table = m_reload();
+        if (!table.ok())
+            return table.status();
+        const char *reason = m_historyLost ? "history lost" : "requested";
+        logEvent(LogLevel::Info, "follower", "table reloaded",
+                 {{"table", m_table},
+                  {"reason", m_loaded ? reason : "start"},
+                  {"rows", std::to_string(table->rows)},
+                  {"version", std::to_string(table->version)},
+                  {"formerVersion", std::to_string(m_version)},
+                  {"tookMs", std::to_string((BootClock::now() - began).count())}});
+        m_version = table->version;
+        m_historyLost = false;
+        m_loaded = true;
+        m_lastAnswer = BootClock::now();
+        return absl::OkStatus();
+    }
+
     Store &m_store;
     const std::string m_table;
     const Reload m_reload;
     const Change m_change;
     std::int64_t m_version = 0; // used by the thread only
+    bool m_historyLost = false; // since the last reload; used by the thread only
     std::atomic<bool> m_loaded{false};
     std::atomic<bool> m_reloadRequested{false};
     std::atomic<BootTime> m_lastAnswer{BootTime{}};
