Read both partitions of the job states on a reload

Cause: since an entry writes the state at acceptance into the cell's inbox partition and the owner writes later states into the cell's own. A reload of the states read only the latter, so it dropped every job that no owner had touched.

The logs of the end-to-end case show "table reloaded reason=start rows=0" with four accepted jobs in the store. Ruled out for this failure: answers exchanged on a connection (the entry logs the answer that the caller got) and placed jobs counted as begun (no job of the case fits a minion).

--- a/src/include/lavenderarch/runtime/job_state_reload.h
+++ b/src/include/lavenderarch/runtime/job_state_reload.h
@@ -15,7 +15,8 @@
 inline constexpr Milliseconds stateReadTimeout{3000};
 
 /// Replaces the contents of `states` by the stored states of the jobs of `cells`, unless a
-/// partition cannot be read.
+/// partition cannot be read. Each cell has its states in two partitions: the state at acceptance in
+/// its inbox, later ones in its own.
 template <RowStore Store>
 StatusOr<ReloadedTable> reloadJobStates(Store &store, const std::set<std::string> &cells,
                                         JobStateCache &states)
@@ -23,13 +24,16 @@
     std::vector<Row> rows;
     std::optional<std::int64_t> version;
     for (const std::string &cell : cells) {
-        auto part = store.read(cells::stateTable, cell, BootClock::now() + stateReadTimeout);
-        if (!part.ok())
-            return part.status();
-        // Following continues from the oldest version, so that no change between two reads is
-        // missed.
-        version = std::min(version.value_or(part->version), part->version);
-        std::move(part->rows.begin(), part->rows.end(), std::back_inserter(rows));
+        for (const std::string &partition : {cells::inbox(cell), cell}) {
+            auto part =
+                store.read(cells::stateTable, partition, BootClock::now() + stateReadTimeout);
+            if (!part.ok())
+                return part.status();
+            // Following continues from the oldest version, so that no change between two reads is
+            // missed.
+            version = std::min(version.value_or(part->version), part->version);
+            std::move(part->rows.begin(), part->rows.end(), std::back_inserter(rows));
+        }
     }
     states.replace(rows);
     return ReloadedTable{version.value_or(0), rows.size()};
--- a/src/libruntime/runtime_test.cpp
+++ b/src/libruntime/runtime_test.cpp
@@ -1,6 +1,7 @@
 // Tests of job acceptance, job states and cell ownership against an in-memory store.
 #include "lavenderarch/runtime/cell_host.h"
 #include "lavenderarch/runtime/job_frontend.h"
+#include "lavenderarch/runtime/job_state_reload.h"
 #include "memory_rows.h"
 
 #include <doctest/doctest.h>
@@ -107,6 +108,37 @@
     CHECK(states.pending("q") == 0);
 }
 
+// Jobs that no owner had touched yet vanished from the count after a reload of the states.
+TEST_CASE("jobs that no owner has touched stay pending when the change history is lost")
+{
+    MemoryRows store;
+    JobStateCache states;
+    JobFrontend<MemoryRows> frontend(store, states);
+    CHECK(frontend.submit(job("a"), deadlineIn(2000)).ok());
+    CHECK(frontend.submit(job("b"), deadlineIn(2000)).ok());
+    const JobSpec begun = job("c");
+    CHECK(frontend.submit(begun, deadlineIn(2000)).ok());
+    const RowTransaction begins{{}, {cells::stateWrite("svc", begun, JobPhase::Running)}};
+    CHECK(store.commit(begins, deadlineIn(2000)).ok());
+    std::atomic<int> reloads = 0;
+    const RowFollower<MemoryRows> follower(
+        store, cells::stateTable,
+        [&] {
+            auto reloaded = reloadJobStates(store, {"svc"}, states);
+            ++reloads;
+            return reloaded;
+        },
+        [&](const Row &row) { frontend.applyState(row); });
+    REQUIRE(eventually([&] { return reloads == 1; }));
+    CHECK(frontend.pending("q") == 2);
+    CHECK(frontend.submit(job("d"), deadlineIn(2000)).ok());
+    REQUIRE(eventually([&] { return frontend.pending("q") == 3; }));
+    store.forgetHistory();
+    REQUIRE(eventually([&] { return reloads == 2; }));
+    CHECK(frontend.pending("q") == 3);
+    CHECK(states.find("c")->phase == JobPhase::Running);
+}
+
 TEST_CASE("a cell has one owner, and another process takes it over after its release")
 {
     MemoryRows store;
--- a/src/testing/memory_rows.h
+++ b/src/testing/memory_rows.h
@@ -9,7 +9,7 @@
 
 namespace lavenderarch::testing {
 
-/// Thread-safe. Faults apply to commits only; reads and the change feed always succeed.
+/// Thread-safe. Faults apply to commits only.
 class MemoryRows
 {
 public:
@@ -30,6 +30,21 @@
         return m_commits;
     }
 
+    /// Drops the changes so far, so that followers must read the rows again.
+    void forgetHistory()
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_changes.clear();
+        m_oldestFollowable = ++m_version;
+        m_changed.notify_all();
+    }
+    /// The next `count` reads fail with StoreUnavailable.
+    void failReads(int count)
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_failingReads = count;
+    }
+
     StatusOr<RowCommit> commit(const RowTransaction &change, BootTime)
     {
         const std::scoped_lock lock(m_mutex);
@@ -65,6 +80,10 @@
     StatusOr<RowRange> read(const std::string &table, const std::string &partition, BootTime)
     {
         const std::scoped_lock lock(m_mutex);
+        if (m_failingReads > 0) {
+            --m_failingReads;
+            return makeError(ErrorKind::StoreUnavailable, "refused");
+        }
         RowRange range;
         range.version = m_version;
         for (const auto &[key, row] : m_rows) {
@@ -86,6 +105,8 @@
         std::unique_lock lock(m_mutex);
         RowRange range;
         while (true) {
+            if (version < m_oldestFollowable)
+                return makeError(ErrorKind::NotFound, "the history was dropped");
             range.rows.clear();
             range.version = m_version;
             for (const Row &row : m_changes) {
@@ -104,7 +125,9 @@
     std::condition_variable m_changed;
     Fault m_fault = Fault::None;
     int m_commits = 0;
+    int m_failingReads = 0;
     std::int64_t m_version = 0;
+    std::int64_t m_oldestFollowable = 0;
     std::map<RowKey, Row> m_rows;
     std::vector<Row> m_changes;
 };
--- a/testsuite/platform_case.py
+++ b/testsuite/platform_case.py
@@ -163,6 +163,37 @@
                    10, "the runs of a cancelled job to end", pause=0.05)
 
 
+def test_pending_count_survives_lost_history_and_restart(build: str) -> None:
+    # Jobs that no owner had touched vanished from the count after a reload of the states.
+    with Platform(build, 3) as platform:
+        for number in range(1, 5):
+            platform.request_any("POST", f"{number:016x}", {"spec": "100", "steps": [
+                {"count": 1, "cpu": 5000, "memMb": 100, "estimateMs": 100}]})
+
+        def pending(entry: int) -> Optional[int]:
+            response = platform.call(entry, "GET", "")
+            return response.json()["pending"] if response.status == 200 else None
+
+        def await_pending(entry: int) -> None:
+            wait_until(lambda: pending(entry) == 4, 20,
+                       f"entry {entry} to count 4 jobs that fit no minion; logs in "
+                       f"{platform.folder}", pause=0.05)
+
+        for entry in range(ENTRIES):
+            await_pending(entry)
+        platform.store.forget_history()
+        wait_until(lambda: platform.store.reloads.get("lav-state", 0) == ENTRIES, 20,
+                   "the entries to reload the states")
+        for _ in range(40):
+            for entry in range(ENTRIES):
+                assert pending(entry) == 4, f"{pending(entry)} pending after lost history"
+            time.sleep(0.05)
+        platform.entries[0].send(signal.SIGKILL)
+        platform.entries[0].process.wait()
+        platform.entries[0].start()
+        await_pending(0)
+
+
 def inject_fault(platform: Platform, rng: random.Random) -> None:
     """Injects one random fault and returns when it is over."""
     fault = rng.choice(["kill entry", "kill agent", "freeze entry", "freeze agent", "stop entry",
--- a/testsuite/platform_stand_in.py
+++ b/testsuite/platform_stand_in.py
@@ -65,13 +65,16 @@
     """Row store with a global version, conditional transactions and a change feed.
 
     Until `down_until` requests fail with 503. Until `lost_until` 30 % of the transactions get no
-    response after they took effect.
+    response after they took effect. `reloads` counts, by table, the feed calls that asked for a
+    forgotten part of the history.
     """
 
     def __init__(self, port: int, seed: int):
         self.address = f"127.0.0.1:{port}"
         self.down_until = 0.0
         self.lost_until = 0.0
+        self.reloads: Dict[str, int] = {}
+        self._forgotten_until = 0  # version
         self._random = random.Random(seed)
         self._rows: Dict[Tuple[str, str, str], dict] = {}
         self._log: List[dict] = []
@@ -84,6 +87,14 @@
             self._write([{"table": table, "part": "", "key": key,
                           "value": base64.b64encode(json.dumps(document).encode()).decode()}], [])
 
+    def forget_history(self) -> None:
+        """Drops the changes so far, also for the feed calls that are waiting."""
+        with self._changed:
+            self._version += 1
+            self._forgotten_until = self._version
+            self._log.clear()
+            self._changed.notify_all()
+
     def _handle(self, method, path, query, headers, body):
         if time.monotonic() < self.down_until:
             return 503, {}
@@ -146,6 +157,9 @@
         until = time.monotonic() + int(query.get("waitMs", 0)) / 1000
         with self._changed:
             while True:
+                if int(query["after"]) < self._forgotten_until:
+                    self.reloads[query["table"]] = self.reloads.get(query["table"], 0) + 1
+                    return 410, {}
                 rows = [row for row in self._log if row["table"] == query["table"] and
                         row["schemaVer"] > int(query["after"])]
                 remaining = until - time.monotonic()
