Keep job states that are newer than a reload

What callers could see: after a reload of the job states, an older state or a lower pending count for the time until the change feed had delivered the newer rows again; with a lost history that is a second or more.

The cache now drops only states that are not newer than the reload's version and are missing from it. Found by reading; seen in no play. The new test on the code before: runtime_test.cpp:155: FATAL ERROR: REQUIRE( states.find("accepted-since") ) is NOT correct!

--- a/src/include/lavenderarch/runtime/job_state_cache.h
+++ b/src/include/lavenderarch/runtime/job_state_cache.h
@@ -15,8 +15,9 @@
 class JobStateCache
 {
 public:
-    /// Replaces the contents by `rows`.
-    void replace(const std::vector<Row> &rows);
+    /// Replaces the contents as of `version` by `rows`, which hold all states of that version and
+    /// may hold newer ones. Known states that are newer than `version` stay.
+    void replace(const std::vector<Row> &rows, std::int64_t version);
     /// Applies one row. A row that is not newer than the known one is ignored.
     void apply(const Row &row);
 
@@ -30,10 +31,13 @@
         JobStateRow state;
         std::int64_t version = 0;
     };
+    using Jobs = std::map<std::string, Entry>;
     void applyLocked(const Row &row);
+    /// Forgets the job; returns the next one.
+    Jobs::iterator eraseLocked(Jobs::iterator job);
 
     mutable std::mutex m_mutex;
-    std::map<std::string, Entry> m_jobs;           // guarded by m_mutex
+    Jobs m_jobs;                                   // guarded by m_mutex
     std::map<std::string, std::int64_t> m_pending; // by queue; guarded by m_mutex
 };
 
--- a/src/include/lavenderarch/runtime/job_state_reload.h
+++ b/src/include/lavenderarch/runtime/job_state_reload.h
@@ -35,7 +35,7 @@
             std::move(part->rows.begin(), part->rows.end(), std::back_inserter(rows));
         }
     }
-    states.replace(rows);
+    states.replace(rows, version.value_or(0));
     return ReloadedTable{version.value_or(0), rows.size()};
 }
 
--- a/src/libruntime/job_state_cache.cpp
+++ b/src/libruntime/job_state_cache.cpp
@@ -3,13 +3,20 @@
 
 #include "lavenderarch/telemetry/log.h"
 
+#include <set>
+
 namespace lavenderarch {
 
-void JobStateCache::replace(const std::vector<Row> &rows)
+void JobStateCache::replace(const std::vector<Row> &rows, std::int64_t version)
 {
+    std::set<std::string> present;
+    for (const Row &row : rows)
+        present.insert(row.key.key);
     const std::scoped_lock lock(m_mutex);
-    m_jobs.clear();
-    m_pending.clear();
+    for (auto job = m_jobs.begin(); job != m_jobs.end();) {
+        const bool removed = job->second.version <= version && present.count(job->first) == 0;
+        job = removed ? eraseLocked(job) : std::next(job);
+    }
     for (const Row &row : rows)
         applyLocked(row);
 }
@@ -41,6 +48,13 @@
         ++m_pending[state->queue];
 }
 
+JobStateCache::Jobs::iterator JobStateCache::eraseLocked(Jobs::iterator job)
+{
+    if (job->second.state.phase == JobPhase::Queued)
+        --m_pending[job->second.state.queue];
+    return m_jobs.erase(job);
+}
+
 std::optional<JobStateRow> JobStateCache::find(const std::string &job) const
 {
     const std::scoped_lock lock(m_mutex);
--- a/src/libruntime/runtime_test.cpp
+++ b/src/libruntime/runtime_test.cpp
@@ -139,6 +139,25 @@
     CHECK(states.find("c")->phase == JobPhase::Running);
 }
 
+// A reload forgot states that were read directly from the store while it was being made.
+TEST_CASE("a reload keeps newer states and drops removed ones")
+{
+    JobStateCache states;
+    const auto row = [](const std::string &id, JobPhase phase, std::int64_t version) {
+        const RowWrite write = cells::stateWrite("svc", job(id), phase);
+        return Row{write.key, write.value, version, false};
+    };
+    states.apply(row("removed", JobPhase::Queued, 3));
+    states.apply(row("accepted-since", JobPhase::Queued, 8));
+    states.apply(row("begun-since", JobPhase::Running, 9));
+    states.replace({row("begun-since", JobPhase::Queued, 4), row("read", JobPhase::Queued, 6)}, 7);
+    CHECK_FALSE(states.find("removed"));
+    REQUIRE(states.find("accepted-since"));
+    CHECK(states.find("begun-since")->phase == JobPhase::Running);
+    CHECK(states.find("read")->phase == JobPhase::Queued);
+    CHECK(states.pending("q") == 2);
+}
+
 TEST_CASE("a cell has one owner, and another process takes it over after its release")
 {
     MemoryRows store;
