--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -9,6 +9,7 @@
 #include "lavenderarch/dispatch/queue_catalog.h"
 #include "lavenderarch/runtime/adaptive_timeout.h"
 #include "lavenderarch/runtime/row_follower.h"
+#include "lavenderarch/telemetry/cpu_time.h"
 #include "lavenderarch/telemetry/metrics.h"
 
 #include <condition_variable>
@@ -281,6 +282,8 @@
                     break;
                 if (BootClock::now() >= nextTick) {
                     m_dispatcher->tick(BootClock::now(), toEpochMs(SystemClock().now()));
+                    m_metrics.setGauge("lavender_cell_thread_cpu_seconds", threadCpuSeconds(),
+                                       {{"cell", m_cell}});
                     nextTick = BootClock::now() + tickInterval;
                 }
                 // Without the latest cancellations no task may be placed.
@@ -368,6 +371,7 @@
             return false;
         }
         m_commitTimeout.recordLatency(BootClock::now() - sentAt);
+        countCommit(change);
         if (!commit->committed && !isOwnWrite(*commit, next)) {
             m_pendingMark.clear();
             if (ownershipLost != nullptr)
@@ -383,6 +387,17 @@
         return true;
     }
 
+    void countCommit(const RowTransaction &change)
+    {
+        std::size_t bytes = 0;
+        for (const RowWrite &write : change.writes)
+            bytes += write.value.size();
+        m_metrics.increment("lavender_commits_total");
+        m_metrics.increment("lavender_commit_rows_total", {},
+                            static_cast<double>(change.writes.size()));
+        m_metrics.increment("lavender_commit_bytes_total", {}, static_cast<double>(bytes));
+    }
+
     /// True when an earlier attempt of the same write took effect; adopts the version of its row.
     bool isOwnWrite(const RowCommit &commit, const OwnerRecord &next)
     {
