Dispatch: count the work of placement passes

Each pass counts the jobs considered, the searches, the minions examined and the tasks placed. The counts go into one log line a second at most, together with the unfinished jobs of each queue, and onto the metrics address (lavender_placement_*), with the time of prepareCommit as the histogram lavender_prepare_commit_seconds.

--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -8,6 +8,7 @@
 #include "lavenderarch/dispatch/exchange_request.h"
 #include "lavenderarch/dispatch/job_model.h"
 #include "lavenderarch/dispatch/minion_view.h"
+#include "lavenderarch/dispatch/placement_counts.h"
 #include "lavenderarch/dispatch/tail_model.h"
 #include "lavenderarch/storage/row.h"
 
@@ -60,6 +61,7 @@
     std::int64_t epoch() const { return m_epoch; }
     const std::map<std::string, JobModel> &jobs() const { return m_jobs; }
     const std::map<std::string, MinionView> &minions() const { return m_minions; }
+    const PlacementCounts &placementCounts() const { return m_placementCounts; }
     /// Returns and clears the decisions since the last call, for the log.
     std::vector<DispatchEvent> takeEvents();
 
@@ -113,6 +115,7 @@
     void place(JobModel &job, const TaskName &name, MinionView &view, BootTime now);
     MinionView *selectMinion(const JobModel &job, int occurrence, std::size_t step,
                              const TaskState &task, BootTime now, bool idleJob = false);
+    void reportPlacement(BootTime now);
     void releaseStaged(const Staged &staged, BootTime now);
     void expireEndedJobs(BootTime now);
     void recordEvent(std::string message, std::vector<std::pair<std::string, std::string>> fields);
@@ -137,7 +140,10 @@
     std::int64_t m_storedObservations = 0; // observations in the stored model
     BootTime m_nextModelStore{};           // earliest time of the next write of the model
     std::vector<DispatchEvent> m_events;
-    bool m_placementDue = true; // a change may allow a waiting task to be placed
+    PlacementCounts m_placementCounts;
+    PlacementCounts m_reportedCounts; // as of the last report in the log
+    BootTime m_nextReport{};          // earliest time of the next report
+    bool m_placementDue = true;       // a change may allow a waiting task to be placed
 };
 
 } // namespace lavenderarch
--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -285,7 +285,7 @@
                 }
                 // Without the latest cancellations no task may be placed.
                 const bool current = BootClock::now() - inbox.lastAnswer() < inboxMaxAge;
-                commit = m_dispatcher->prepareCommit(BootClock::now(), current);
+                commit = prepareCommit(current);
                 logEvents();
                 wakeAgents(false);
                 if (!commit && BootClock::now() < renewal)
@@ -302,6 +302,28 @@
                  {{"cell", m_cell}, {"confirmed", released ? "yes" : "no"}});
     }
 
+    /// Requires m_mutex. Records how long the dispatcher takes and what its placement does.
+    std::optional<CellCommit> prepareCommit(bool mayPlace)
+    {
+        const PlacementCounts before = m_dispatcher->placementCounts();
+        const auto started = std::chrono::steady_clock::now();
+        auto commit = m_dispatcher->prepareCommit(BootClock::now(), mayPlace);
+        const std::chrono::duration<double> seconds = std::chrono::steady_clock::now() - started;
+        const PlacementCounts &after = m_dispatcher->placementCounts();
+        m_metrics.observeSeconds("lavender_prepare_commit_seconds", seconds.count());
+        if (after == before)
+            return commit;
+        const auto count = [this](const char *name, std::int64_t amount) {
+            m_metrics.increment(name, {}, static_cast<double>(amount));
+        };
+        count("lavender_placement_passes", after.passes - before.passes);
+        count("lavender_placement_jobs", after.jobs - before.jobs);
+        count("lavender_placement_searches", after.searches - before.searches);
+        count("lavender_placement_minions", after.minions - before.minions);
+        count("lavender_placement_placed", after.placed - before.placed);
+        return commit;
+    }
+
     /// Repeats the commit until it is stored (true). False when another owner has written the owner
     /// row, or when this process stops or releases the cell first.
     bool commitUntilStored(const std::stop_token &stop, const CellCommit &commit)
--- a/src/libdispatch/cell_dispatcher.cpp
+++ b/src/libdispatch/cell_dispatcher.cpp
@@ -178,6 +178,7 @@
         m_placementDue = false;
         placeWaiting(now);
     }
+    reportPlacement(now);
     expireEndedJobs(now);
     if (m_dirty.empty() && m_expiredJobs.empty())
         return std::nullopt;
--- a/src/libdispatch/cell_dispatcher_placement.cpp
+++ b/src/libdispatch/cell_dispatcher_placement.cpp
@@ -14,6 +14,8 @@
 /// After this many jobs without a suitable minion, a pass considers only jobs that have no active
 /// run.
 constexpr int maxUnplacedJobs = 24;
+/// Minimum time between two log lines about the work of placement.
+constexpr Milliseconds reportInterval{1000};
 /// Value of TaskState::startOrder while the start waits for its commit.
 constexpr std::int64_t unreleased = -1;
 
@@ -71,6 +73,7 @@
 {
     if (m_catalog == nullptr)
         return;
+    ++m_placementCounts.passes;
     int budget = maxPlacementsPerPass;
     int unplaced = 0;
     for (JobModel *job : placementOrder()) {
@@ -78,6 +81,7 @@
         // PlacementRequest.
         if (unplaced >= maxUnplacedJobs && job->activeRuns() > 0)
             continue;
+        ++m_placementCounts.jobs;
         bool hasUnplaced = false;
         const int placed = placeJob(*job, now, budget, hasUnplaced);
         if (placed > 0)
@@ -180,6 +184,8 @@
                                    idleJob};
     MinionView *best = nullptr;
     double bestScore = 0;
+    ++m_placementCounts.searches;
+    m_placementCounts.minions += static_cast<std::int64_t>(m_minions.size());
     for (auto &[agent, view] : m_minions) {
         const auto score = placementScore(view, request, now);
         if (score && (best == nullptr || *score > bestScore)) {
@@ -209,6 +215,7 @@
     order.payload = job.spec().payload;
     order.checkpoint = task.checkpoint;
     attach(view, step, order.run);
+    ++m_placementCounts.placed;
     recordEvent("run placed", {{"task", order.run.task},
                                {"run", std::to_string(task.run)},
                                {"agent", view.agent},
@@ -218,4 +225,33 @@
     m_staged[job.spec().id].orders.emplace_back(view.agent, std::move(order));
 }
 
+/// Logs the work of placement since the last report and the unfinished jobs of each queue.
+void CellDispatcher::reportPlacement(BootTime now)
+{
+    const PlacementCounts &counts = m_placementCounts;
+    if (now < m_nextReport || counts == m_reportedCounts)
+        return;
+    m_nextReport = now + reportInterval;
+    const PlacementCounts last = std::exchange(m_reportedCounts, counts);
+    std::map<std::string, std::pair<int, int>> queues; // unfinished jobs, those without a run
+    for (const auto &[priority, accepted, id] : m_unfinishedJobs) {
+        const auto job = m_jobs.find(id);
+        if (job == m_jobs.end())
+            continue;
+        auto &[unfinished, idle] = queues[job->second.spec().queue];
+        ++unfinished;
+        idle += job->second.activeRuns() == 0 ? 1 : 0;
+    }
+    std::string lengths;
+    for (const auto &[queue, jobs] : queues)
+        lengths += (lengths.empty() ? "" : ", ") + queue + " " + std::to_string(jobs.first) +
+                   " (idle " + std::to_string(jobs.second) + ")";
+    recordEvent("placement passes", {{"passes", std::to_string(counts.passes - last.passes)},
+                                     {"jobs", std::to_string(counts.jobs - last.jobs)},
+                                     {"searches", std::to_string(counts.searches - last.searches)},
+                                     {"minions", std::to_string(counts.minions - last.minions)},
+                                     {"placed", std::to_string(counts.placed - last.placed)},
+                                     {"unfinishedJobs", lengths}});
+}
+
 } // namespace lavenderarch
