Count a job once when its state row cannot be parsed

What callers could see: a pending count that is too low by one for each such row, down to a negative one. Cause: the cache subtracted the known queued job before it parsed the new row, kept the known state when that failed, and subtracted the job again with the next row. The new test on the code before: runtime_test.cpp:170: ERROR: CHECK( states.pending("q") == 1 ) is NOT correct! values: CHECK( 0 == 1 ) runtime_test.cpp:173: ERROR: CHECK( states.pending("q") == 0 ) is NOT correct! values: CHECK( -1 == 0 )

--- a/src/libruntime/job_state_cache.cpp
+++ b/src/libruntime/job_state_cache.cpp
@@ -32,17 +32,17 @@
     const auto known = m_jobs.find(row.key.key);
     if (known != m_jobs.end() && known->second.version >= row.version)
         return;
-    if (known != m_jobs.end() && known->second.state.phase == JobPhase::Queued)
-        --m_pending[known->second.state.queue];
-    if (row.removed) {
-        m_jobs.erase(row.key.key);
+    if (known != m_jobs.end() && row.removed)
+        eraseLocked(known);
+    if (row.removed)
         return;
-    }
     const auto state = parseAs<JobStateRow>(row.value, "state row " + row.key.key);
     if (!state.ok()) {
         logFailure("states", "cannot parse the state row", state.status(), {{"job", row.key.key}});
         return;
     }
+    if (known != m_jobs.end())
+        eraseLocked(known);
     m_jobs[row.key.key] = {*state, row.version};
     if (state->phase == JobPhase::Queued)
         ++m_pending[state->queue];
--- a/src/libruntime/runtime_test.cpp
+++ b/src/libruntime/runtime_test.cpp
@@ -158,6 +158,21 @@
     CHECK(states.pending("q") == 2);
 }
 
+// A job with a state row that cannot be parsed was subtracted from the count twice.
+TEST_CASE("a state row that cannot be parsed changes neither the state nor the pending count")
+{
+    JobStateCache states;
+    const RowWrite queued = cells::queuedWrite("svc", job("a"));
+    const RowWrite running = cells::stateWrite("svc", job("a"), JobPhase::Running);
+    states.apply({queued.key, queued.value, 5, false});
+    states.apply({running.key, "{", 6, false});
+    CHECK(states.find("a")->phase == JobPhase::Queued);
+    CHECK(states.pending("q") == 1);
+    states.apply({running.key, running.value, 7, false});
+    CHECK(states.find("a")->phase == JobPhase::Running);
+    CHECK(states.pending("q") == 0);
+}
+
 TEST_CASE("a cell has one owner, and another process takes it over after its release")
 {
     MemoryRows store;
