Repeat a requested reload until it succeeds, and make it once

What callers could see: after a configuration with a new service, an entry that knows none of the jobs that this service had before; and an entry that reads all its tables twice as it starts. Cause: the follower cleared the request before it reloaded, whatever came of it, and did not clear a request made before the first reload. The failed one was found by reading. The new test on the code before: runtime_test.cpp:208: ERROR: CHECK( reloads == 1 ) is NOT correct! runtime_test.cpp:213: ERROR: CHECK( eventually([&] { return reloads > before; }) ) is NOT correct!

--- a/src/include/lavenderarch/runtime/row_follower.h
+++ b/src/include/lavenderarch/runtime/row_follower.h
@@ -73,10 +73,14 @@
 
     Status followOnce()
     {
-        if (!m_loaded || m_reloadRequested.exchange(false)) {
+        // The first reload also serves the requests made before it.
+        const bool requested = m_reloadRequested.exchange(false);
+        if (!m_loaded || requested) {
             const Status reloaded = reload();
-            if (!reloaded.ok())
+            if (!reloaded.ok()) {
+                m_reloadRequested = true;
                 return reloaded;
+            }
         }
         const auto changes =
             m_store.follow(m_table, m_version, BootClock::now() + followWait + followSlack);
--- a/src/libruntime/runtime_test.cpp
+++ b/src/libruntime/runtime_test.cpp
@@ -173,6 +173,46 @@
     CHECK(states.pending("q") == 0);
 }
 
+// A requested reload that failed was forgotten, and one requested before the start was made twice.
+TEST_CASE("a requested reload is repeated until it succeeds")
+{
+    MemoryRows store;
+    std::atomic<int> attempts = 0;
+    std::atomic<int> reloads = 0;
+    std::atomic<bool> configured = false;
+    std::atomic<int> changes = 0;
+    RowFollower<MemoryRows> follower(
+        store, "t",
+        [&]() -> StatusOr<ReloadedTable> {
+            ++attempts;
+            if (!configured)
+                return makeError(ErrorKind::NotReady, "no configuration yet");
+            const auto rows = store.read("t", "", deadlineIn(2000));
+            if (!rows.ok())
+                return rows.status();
+            ++reloads;
+            return ReloadedTable{rows->version, rows->rows.size()};
+        },
+        [&](const Row &) { ++changes; });
+    const auto change = [&](const std::string &key) {
+        return store.commit({{}, {{{"t", "", key}, "", false}}}, deadlineIn(2000)).ok();
+    };
+    REQUIRE(eventually([&] { return attempts > 0; }));
+    follower.requestReload();
+    configured = true;
+    REQUIRE(eventually([&] { return follower.loaded(); }));
+    CHECK(change("a"));
+    REQUIRE(eventually([&] { return changes == 1; }));
+    CHECK(change("b"));
+    REQUIRE(eventually([&] { return changes == 2; }));
+    CHECK(reloads == 1);
+    const int before = reloads;
+    store.failReads(2);
+    follower.requestReload();
+    CHECK(change("c"));
+    CHECK(eventually([&] { return reloads > before; }));
+}
+
 TEST_CASE("a cell has one owner, and another process takes it over after its release")
 {
     MemoryRows store;
