Cell host: log and metric of a cell's load; reason of a takeover

'cell loaded' states rows, bytes, time of the reads, time of the rebuild, ended jobs and the epoch; lavender_cell_load_seconds is its histogram. 'cell taken over' states the reason (no-owner, released, restarted, unchanged) and the age of the row's version in place of 'released'; lavender_cell_takeovers has the reason as a label. OwnershipWatch provides both and stays a state machine without a clock.

--- a/src/include/lavenderarch/dispatch/ownership_watch.h
+++ b/src/include/lavenderarch/dispatch/ownership_watch.h
@@ -4,6 +4,8 @@
 #include "lavenderarch/core/boot_clock.h"
 #include "lavenderarch/dispatch/owner_record.h"
 
+#include <string_view>
+
 namespace lavenderarch {
 
 /// An owner that could not renew its row for this long stops granting leases and sending orders.
@@ -21,6 +23,14 @@
 class OwnershipWatch
 {
 public:
+    /// Why the cell may be taken over.
+    enum class Reason {
+        NoOwner,   ///< the cell never had an owner
+        Released,  ///< the owner has released it
+        Restarted, ///< the owner is an earlier lifetime of this process
+        Unchanged  ///< the owner has not renewed its row in time
+    };
+
     /// `process` identifies this lifetime of the process and has the form VM-TEXT. An owner on the
     /// same VM with another text is an earlier lifetime of it, which has certainly ended.
     explicit OwnershipWatch(std::string process);
@@ -32,6 +42,11 @@
     /// as a failure of the owner.
     void readFailed();
 
+    /// Reason and age of the owner row's version, as of the last call of observe() that returned
+    /// true.
+    Reason reason() const { return m_reason; }
+    Milliseconds unchangedFor() const { return m_unchangedFor; }
+
 private:
     bool isPreviousProcess(const OwnerRecord &record) const;
 
@@ -40,6 +55,11 @@
     BootTime m_since{};          // when that version was first read
     int m_reads = 0;             // consecutive reads of that version
     Milliseconds m_fastestRead{1'000'000};
+    Reason m_reason = Reason::NoOwner;
+    Milliseconds m_unchangedFor{0};
 };
 
+/// Name of a reason in logs and metrics.
+std::string_view reasonName(OwnershipWatch::Reason reason);
+
 } // namespace lavenderarch
--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -11,8 +11,11 @@
 #include "lavenderarch/runtime/row_follower.h"
 #include "lavenderarch/telemetry/metrics.h"
 
+#include <algorithm>
+#include <array>
 #include <condition_variable>
 #include <mutex>
+#include <numeric>
 
 namespace lavenderarch {
 
@@ -150,7 +153,7 @@
     {
         OwnershipWatch watch(m_owner);
         while (!stop.stop_requested()) {
-            if (!m_releasing && m_claiming && claimable(watch) && claim())
+            if (!m_releasing && m_claiming && claimable(watch) && claim(watch))
                 loadAndServe(stop);
             std::unique_lock lock(m_mutex);
             m_work.wait_for(lock, watchInterval, [&] { return stop.stop_requested(); });
@@ -179,7 +182,7 @@
         return watch.observe(m_record, row->version, sentAt, BootClock::now());
     }
 
-    bool claim()
+    bool claim(const OwnershipWatch &watch)
     {
         const OwnerRecord previous = m_record;
         m_record = {m_owner, m_address, previous.epoch + 1, 0, "", false};
@@ -190,8 +193,10 @@
                  {{"cell", m_cell},
                   {"epoch", std::to_string(m_record.epoch)},
                   {"formerOwner", previous.owner},
-                  {"released", previous.released ? "yes" : "no"}});
-        m_metrics.increment("lavender_cell_takeovers");
+                  {"reason", std::string(reasonName(watch.reason()))},
+                  {"rowUnchangedMs", std::to_string(watch.unchangedFor().count())}});
+        m_metrics.increment("lavender_cell_takeovers",
+                            {{"reason", std::string(reasonName(watch.reason()))}});
         return true;
     }
 
@@ -199,7 +204,8 @@
     /// released.
     void loadAndServe(const std::stop_token &stop)
     {
-        const BootTime deadline = BootClock::now() + loadTimeout;
+        const BootTime started = BootClock::now();
+        const BootTime deadline = started + loadTimeout;
         const auto jobs = m_store.read(cells::jobTable, cells::inbox(m_cell), deadline);
         const auto progress =
             jobs.ok() ? m_store.read(cells::progressTable, m_cell, deadline) : jobs;
@@ -211,6 +217,7 @@
             commitFenced({}, BootClock::now() + ownershipCallTimeout);
             return;
         }
+        const BootTime rowsRead = BootClock::now();
         {
             const std::scoped_lock lock(m_mutex);
             m_dispatcher = std::make_unique<CellDispatcher>(m_cell, m_limits, m_record.epoch);
@@ -219,6 +226,7 @@
                 m_dispatcher->loadTailModel(model->value);
             m_dispatcher->setCatalog(m_catalog);
             m_dispatcher->setClosedDataCentres(m_closedDataCentres);
+            logLoad({started, rowsRead, BootClock::now()}, *jobs, *progress);
         }
         const auto version = std::make_shared<std::optional<std::int64_t>>(jobs->version);
         {
@@ -234,6 +242,32 @@
         }
     }
 
+    /// `times`: start of the load, end of the reads, end of the load. Requires m_mutex.
+    void logLoad(const std::array<BootTime, 3> &times, const RowRange &jobs,
+                 const RowRange &progress)
+    {
+        const auto bytesOf = [](const RowRange &range) {
+            return std::accumulate(
+                range.rows.begin(), range.rows.end(), std::size_t{0},
+                [](std::size_t sum, const Row &row) { return sum + row.value.size(); });
+        };
+        const auto &loaded = m_dispatcher->jobs();
+        const auto ended = std::count_if(loaded.begin(), loaded.end(),
+                                         [](const auto &entry) { return entry.second.settled(); });
+        logEvent(LogLevel::Info, "cell", "cell loaded",
+                 {{"cell", m_cell},
+                  {"epoch", std::to_string(m_record.epoch)},
+                  {"jobRows", std::to_string(jobs.rows.size())},
+                  {"jobBytes", std::to_string(bytesOf(jobs))},
+                  {"progressRows", std::to_string(progress.rows.size())},
+                  {"progressBytes", std::to_string(bytesOf(progress))},
+                  {"endedJobs", std::to_string(ended)},
+                  {"readMs", std::to_string((times[1] - times[0]).count())},
+                  {"rebuildMs", std::to_string((times[2] - times[1]).count())}});
+        m_metrics.observeSeconds("lavender_cell_load_seconds",
+                                 static_cast<double>((times[2] - times[0]).count()) / 1000);
+    }
+
     StatusOr<std::int64_t> reloadJobs(std::optional<std::int64_t> &first)
     {
         if (first) {
--- a/src/libdispatch/dispatch_test.cpp
+++ b/src/libdispatch/dispatch_test.cpp
@@ -376,6 +376,26 @@
     CHECK_FALSE(OwnershipWatch("vm-2-aaaa").observe(previous, 9, now, now + Milliseconds(5)));
 }
 
+TEST_CASE("the watch states why a cell may be taken over and for how long its row was unchanged")
+{
+    using Reason = OwnershipWatch::Reason;
+    BootTime now{Milliseconds(100'000)};
+    OwnershipWatch watch("vm-2-aaaa");
+    REQUIRE(watch.observe({}, 0, now, now));
+    CHECK(watch.reason() == Reason::NoOwner);
+    const OwnerRecord released{"vm-1-bbbb", "", 2, 0, "", true};
+    REQUIRE(watch.observe(released, 9, now, now));
+    CHECK(watch.reason() == Reason::Released);
+    REQUIRE(watch.observe({"vm-2-cccc", "", 2, 0, "", false}, 10, now, now));
+    CHECK(watch.reason() == Reason::Restarted);
+    const OwnerRecord silent{"vm-1-bbbb", "", 3, 0, "", false};
+    while (!watch.observe(silent, 11, now, now))
+        now += watchInterval;
+    CHECK(watch.reason() == Reason::Unchanged);
+    CHECK(watch.unchangedFor() >= ownerTakeoverTimeout);
+    CHECK(watch.unchangedFor() < ownerTakeoverTimeout + watchInterval);
+}
+
 TEST_CASE("a listing requested in the millisecond of a start's confirmation does not end the run")
 {
     RunLedger ledger("agent", "s");
--- a/src/libdispatch/ownership_watch.cpp
+++ b/src/libdispatch/ownership_watch.cpp
@@ -40,7 +40,12 @@
     ++m_reads;
     const Milliseconds delay =
         m_fastestRead > nearStoreReadTime ? remoteTakeoverDelay : Milliseconds(0);
-    if (version == 0 || record.released || isPreviousProcess(record))
+    m_unchangedFor = sentAt - m_since;
+    m_reason = version == 0                ? Reason::NoOwner
+               : record.released           ? Reason::Released
+               : isPreviousProcess(record) ? Reason::Restarted
+                                           : Reason::Unchanged;
+    if (m_reason != Reason::Unchanged)
         return now - m_since >= delay;
     return m_reads >= minReads && sentAt - m_since >= ownerTakeoverTimeout + delay;
 }
@@ -50,4 +55,19 @@
     m_version = -1;
 }
 
+std::string_view reasonName(OwnershipWatch::Reason reason)
+{
+    switch (reason) {
+    case OwnershipWatch::Reason::NoOwner:
+        return "no-owner";
+    case OwnershipWatch::Reason::Released:
+        return "released";
+    case OwnershipWatch::Reason::Restarted:
+        return "restarted";
+    case OwnershipWatch::Reason::Unchanged:
+        return "unchanged";
+    }
+    return "unknown";
+}
+
 } // namespace lavenderarch
