Cell host: ownership is renewed while a cell is loaded

What callers saw: after the planned stop of an owner with a large cell almost nothing was placed, runs lapsed, and at the end jobs could run and did not (LOST).

Cause: the new owner read all rows and rebuilt its model before the first renewal. Others take a cell over after 2.5 s without a change of its row, so each owner lost the cell before it had loaded it.

Ruled out: owners that die (each logs 'cell loaded' for its lost epoch) and a silent store (the rows are read).

Fix: the cell is loaded on a thread of its own, outside the lock, page by page; a failed page is read again. The owner's thread renews meanwhile. Agents that poll during the load are granted a lease (a grant starts nothing) and learn the new epoch; the owner counts all leases from the moment its model is installed. A load that fails or takes over 10 s releases the cell, and the process does not claim it again for 5 s; before, it claimed its own release at once. A stop during the load writes the release. The reload of the inbox after a lost history is read page by page too and has 10 s, not 3 s. OwnerFence (the owner row) and loadCell are split off CellHost.

Tests, failing on the code before: a cell whose load takes longer than the takeover timeout stays with its new owner ERROR: CHECK( storedEpoch(store) == 1 ) values: CHECK( 2 == 1 ) a poll is granted a lease while the cell is loaded, and its runs are known afterwards FATAL ERROR: REQUIRE( eventually(... reply.ok() ...) ) values: REQUIRE( false ) a cell that cannot be loaded is released and not claimed again at once ERROR: CHECK( storedEpoch(store) == 1 ) values: CHECK( 4 == 1 ) a cell is released while it is loaded ERROR: CHECK( ...find("\"released\":true") != std::string::npos ) is NOT correct!

--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -32,6 +32,9 @@
     /// Rebuilds the state from the rows of a cell that was taken over at `now`. Previous owners may
     /// have granted leases until then.
     void load(const std::vector<Row> &jobs, const std::vector<Row> &progress, BootTime now);
+    /// Assumes that each minion with runs holds a lease that started at `now`, since leases may have
+    /// been granted between load() and then.
+    void assumeLeases(BootTime now);
     /// Applies a new or changed row of the job table.
     void applyJobRow(const Row &row, BootTime now);
     /// Restores the tail model that a previous owner stored.
--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -1,32 +1,22 @@
 // Watches the ownership of one cell, takes it over when allowed and runs its CellDispatcher.
 #pragma once
 
-#include "lavenderarch/core/clock.h"
-#include "lavenderarch/core/random.h"
-#include "lavenderarch/dispatch/cell_dispatcher.h"
-#include "lavenderarch/dispatch/cell_tables.h"
-#include "lavenderarch/dispatch/ownership_watch.h"
 #include "lavenderarch/dispatch/queue_catalog.h"
-#include "lavenderarch/runtime/adaptive_timeout.h"
+#include "lavenderarch/runtime/cell_load.h"
+#include "lavenderarch/runtime/owner_fence.h"
 #include "lavenderarch/runtime/row_follower.h"
-#include "lavenderarch/telemetry/metrics.h"
 
-#include <algorithm>
-#include <array>
 #include <condition_variable>
 #include <mutex>
-#include <numeric>
 
 namespace lavenderarch {
 
-/// Timeout of one read or write during a change of ownership.
-inline constexpr Milliseconds ownershipCallTimeout{800};
 /// Delay between two attempts of a commit.
 inline constexpr Milliseconds cellCommitRetryPause{40};
 /// Time between two checks of leases, stalled runs and due occurrences.
 inline constexpr Milliseconds tickInterval{250};
-/// Timeout of reading all rows of a cell, as at a takeover.
-inline constexpr Milliseconds loadTimeout{3000};
+/// Time for which a process does not claim a cell that it could not load.
+inline constexpr Milliseconds claimPause{5000};
 /// An owner whose view of the inbox is older than this places no tasks. No task may start later
 /// than 3 s after its job's cancellation, and the commit and the start take part of that time.
 inline constexpr Milliseconds inboxMaxAge{2500};
@@ -39,13 +29,14 @@
 {
 public:
     CellHost(Store &store, Metrics &metrics, std::string cell, std::string owner,
-             std::string address, DispatchLimits limits)
+             std::string address, DispatchLimits limits, Milliseconds loadTimeout = cellLoadTimeout)
         : m_store(store)
         , m_metrics(metrics)
         , m_cell(std::move(cell))
         , m_owner(std::move(owner))
-        , m_address(std::move(address))
         , m_limits(limits)
+        , m_loadTimeout(loadTimeout)
+        , m_fence(store, metrics, m_cell, m_owner, std::move(address))
         , m_thread([this](const std::stop_token &stop) { run(stop); })
     {
     }
@@ -67,7 +58,7 @@
         std::unique_lock lock(m_mutex);
         m_releasing = true;
         m_work.notify_all();
-        m_changed.wait_for(lock, ownershipCallTimeout * 2, [&] { return m_dispatcher == nullptr; });
+        m_changed.wait_for(lock, ownershipCallTimeout * 2, [&] { return m_state == State::Idle; });
     }
 
     void setCatalog(std::shared_ptr<const QueueCatalog> catalog)
@@ -88,27 +79,35 @@
     }
 
     /// Handles an agent's request. Blocks until there are orders for the agent, for at most the
-    /// request's waitMs. StaleCommand when this process does not own the cell.
+    /// request's waitMs. StaleCommand when this process does not own the cell. While the cell is
+    /// loaded the reply only grants a lease, so that what runs continues; the agent repeats the
+    /// content of the request in its next one.
     StatusOr<ExchangeReply> exchange(const ExchangeRequest &request)
     {
-        const BootTime arrived = BootClock::now();
+        const BootTime until = BootClock::now() + Milliseconds(request.waitMs);
         std::unique_lock lock(m_mutex);
+        const bool waited = m_state == State::Loading;
+        // An agent that does not know the epoch yet learns it at once.
+        while (m_state == State::Loading && request.epoch == m_epoch && !m_releasing &&
+               BootClock::now() < until)
+            m_changed.wait_for(lock, until - BootClock::now());
         // An owner that could not renew rejects agents, as another process may have taken over.
-        if (m_dispatcher == nullptr || request.epoch > m_dispatcher->epoch() || !ownershipValid())
+        if (m_state == State::Idle || request.epoch > m_epoch || !ownershipValid())
             return notOwner();
-        const std::int64_t epoch = m_dispatcher->epoch();
-        m_dispatcher->handleRequest(request, arrived, ownershipValid());
+        if (m_state == State::Loading)
+            return loadingReply(request);
+        const std::int64_t epoch = m_epoch;
+        m_dispatcher->handleRequest(request, BootClock::now(), ownershipValid());
         m_workPending = true;
         m_work.notify_all();
-        const BootTime until = arrived + Milliseconds(request.waitMs);
-        while (m_dispatcher != nullptr && m_dispatcher->epoch() == epoch &&
+        while (m_dispatcher != nullptr && m_epoch == epoch && !waited &&
                !m_dispatcher->hasOrders(request.agent)) {
             const BootTime now = BootClock::now();
             if (now >= until || m_releasing)
                 break;
             waiterOf(request.agent).wait_for(lock, until - now);
         }
-        if (m_dispatcher == nullptr || m_dispatcher->epoch() != epoch)
+        if (m_dispatcher == nullptr || m_epoch != epoch)
             return notOwner();
         return m_dispatcher->reply(request.agent, ownershipValid());
     }
@@ -120,6 +119,32 @@
     }
 
 private:
+    enum class State {
+        Idle,    ///< not the owner
+        Loading, ///< the owner, but the dispatcher is not rebuilt yet
+        Serving  ///< the owner, with a dispatcher
+    };
+
+    /// Requires m_mutex. Installing the dispatcher assumes that the leases granted here are valid.
+    ExchangeReply loadingReply(const ExchangeRequest &request) const
+    {
+        ExchangeReply reply;
+        reply.epoch = m_epoch;
+        reply.incarnation = request.facts.incarnation;
+        reply.grantMs = request.reachable ? m_limits.leaseMs : 0;
+        return reply;
+    }
+
+    /// Requires m_mutex.
+    void setState(State state)
+    {
+        m_state = state;
+        if (state == State::Idle)
+            m_dispatcher.reset();
+        m_changed.notify_all();
+        wakeAgents(true);
+    }
+
     Status notOwner() const
     {
         return makeError(ErrorKind::StaleCommand, "this process does not own cell " + m_cell);
@@ -146,137 +171,111 @@
     /// Requires m_mutex. False while releasing, or when another process may have taken over.
     bool ownershipValid() const
     {
-        return !m_releasing && BootClock::now() < m_renewedAt + ownerRenewDeadline;
+        return !m_releasing && BootClock::now() < m_fence.renewedAt() + ownerRenewDeadline;
     }
 
     void run(const std::stop_token &stop)
     {
         OwnershipWatch watch(m_owner);
         while (!stop.stop_requested()) {
-            if (!m_releasing && m_claiming && claimable(watch) && claim(watch))
+            if (!m_releasing && m_claiming && m_fence.claimable(watch) &&
+                BootClock::now() >= m_claimAfter && m_fence.claim(watch))
                 loadAndServe(stop);
             std::unique_lock lock(m_mutex);
             m_work.wait_for(lock, watchInterval, [&] { return stop.stop_requested(); });
         }
     }
 
-    bool claimable(OwnershipWatch &watch)
-    {
-        const BootTime sentAt = BootClock::now();
-        const auto row = m_store.readOne(cells::ownerRowKey(m_cell), sentAt + ownershipCallTimeout);
-        if (!row.ok()) {
-            watch.readFailed();
-            return false;
-        }
-        m_record = {};
-        if (row->version != 0) {
-            const auto record = parseAs<OwnerRecord>(row->value, "owner row");
-            if (!record.ok()) {
-                logFailure("cell", "cannot parse the owner row", record.status(),
-                           {{"cell", m_cell}});
-                return false;
-            }
-            m_record = *record;
-        }
-        m_version = row->version;
-        return watch.observe(m_record, row->version, sentAt, BootClock::now());
-    }
-
-    bool claim(const OwnershipWatch &watch)
+    /// Loads the cell and acts as its owner until another process takes it over or it is released.
+    void loadAndServe(const std::stop_token &stop)
     {
-        const OwnerRecord previous = m_record;
-        m_record = {m_owner, m_address, previous.epoch + 1, 0, "", false};
-        const BootTime sentAt = BootClock::now();
-        if (!commitFenced({}, sentAt + ownershipCallTimeout * 2))
-            return false;
-        logEvent(LogLevel::Info, "cell", "cell taken over",
-                 {{"cell", m_cell},
-                  {"epoch", std::to_string(m_record.epoch)},
-                  {"formerOwner", previous.owner},
-                  {"reason", std::string(reasonName(watch.reason()))},
-                  {"rowUnchangedMs", std::to_string(watch.unchangedFor().count())}});
-        m_metrics.increment("lavender_cell_takeovers",
-                            {{"reason", std::string(reasonName(watch.reason()))}});
-        return true;
+        const auto inboxVersion = loadWhileRenewing(stop);
+        if (!inboxVersion)
+            return;
+        std::stop_source served;
+        const auto version = std::make_shared<std::optional<std::int64_t>>(*inboxVersion);
+        RowFollower<Store> follower(
+            m_store, cells::jobTable,
+            [this, version, reads = served.get_token()] { return reloadJobs(*version, reads); },
+            [this](const Row &row) { applyJobRow(row); });
+        serve(stop, follower);
+        served.request_stop();
+        // Before the follower is destroyed, which may take as long as one of its calls.
+        const std::scoped_lock lock(m_mutex);
+        setState(State::Idle);
     }
 
-    /// Reads the cell's rows and acts as its owner until another process takes it over or it is
-    /// released.
-    void loadAndServe(const std::stop_token &stop)
+    /// Loads the cell on a thread of its own while this one renews the ownership, as a load may
+    /// take longer than ownerTakeoverTimeout. Installs the dispatcher and returns the version of
+    /// the inbox; nothing when the cell is lost or was released.
+    std::optional<std::int64_t> loadWhileRenewing(const std::stop_token &stop)
     {
-        const BootTime started = BootClock::now();
-        const BootTime deadline = started + loadTimeout;
-        const auto jobs = m_store.read(cells::jobTable, cells::inbox(m_cell), deadline);
-        const auto progress =
-            jobs.ok() ? m_store.read(cells::progressTable, m_cell, deadline) : jobs;
-        const auto model = m_store.readOne({cells::modelTable, m_cell, cells::tailsKey}, deadline);
-        if (!progress.ok()) {
-            logFailure("cell", "cannot read the cell from the store; releasing it",
-                       progress.status(), {{"cell", m_cell}});
-            m_record.released = true;
-            commitFenced({}, BootClock::now() + ownershipCallTimeout);
-            return;
-        }
-        const BootTime rowsRead = BootClock::now();
         {
             const std::scoped_lock lock(m_mutex);
-            m_dispatcher = std::make_unique<CellDispatcher>(m_cell, m_limits, m_record.epoch);
-            m_dispatcher->load(jobs->rows, progress->rows, BootClock::now());
-            if (model.ok() && model->version != 0)
-                m_dispatcher->loadTailModel(model->value);
-            m_dispatcher->setCatalog(m_catalog);
-            m_dispatcher->setClosedDataCentres(m_closedDataCentres);
-            logLoad({started, rowsRead, BootClock::now()}, *jobs, *progress);
+            m_epoch = m_fence.epoch();
+            setState(State::Loading);
         }
-        const auto version = std::make_shared<std::optional<std::int64_t>>(jobs->version);
-        {
-            RowFollower<Store> follower(
-                m_store, cells::jobTable, [this, version] { return reloadJobs(*version); },
-                [this](const Row &row) { applyJobRow(row); });
-            serve(stop, follower);
-            // Reset before the follower is destroyed, which may take as long as one of its calls.
+        std::optional<StatusOr<CellLoad>> load; // guarded by m_mutex
+        const BootTime deadline = BootClock::now() + m_loadTimeout;
+        const std::jthread loader([&, epoch = m_epoch](const std::stop_token &loadStop) {
+            auto result = loadCell(m_store, m_metrics, m_cell, m_limits, epoch, deadline, loadStop);
             const std::scoped_lock lock(m_mutex);
-            m_dispatcher.reset();
-            wakeAgents(true);
-            m_changed.notify_all();
-        }
+            load.emplace(std::move(result));
+            m_work.notify_all();
+        });
+        while (true) {
+            std::unique_lock lock(m_mutex);
+            const BootTime renewal = m_fence.renewedAt() + renewalInterval;
+            const BootTime now = BootClock::now();
+            if (renewal > now)
+                m_work.wait_for(lock, renewal - now, [&] {
+                    return load.has_value() || m_releasing || stop.stop_requested();
+                });
+            const bool leaving = m_releasing || stop.stop_requested();
+            if (!leaving && load.has_value() && load->ok())
+                return install(**load);
+            if (!leaving && !load.has_value()) {
+                lock.unlock();
+                if (BootClock::now() < renewal || commitUntilStored(stop, {}))
+                    continue;
+                lock.lock();
+                setState(State::Idle);
+                return std::nullopt;
+            }
+            if (!leaving) {
+                logFailure("cell", "cannot load the cell; releasing it", load->status(),
+                           {{"cell", m_cell}, {"epoch", std::to_string(m_epoch)}});
+                m_claimAfter = BootClock::now() + claimPause;
+            }
+            lock.unlock();
+            m_fence.release();
+            lock.lock();
+            setState(State::Idle);
+            return std::nullopt;
+        } // the loader is joined after the lock is released
     }
 
-    /// `times`: start of the load, end of the reads, end of the load. Requires m_mutex.
-    void logLoad(const std::array<BootTime, 3> &times, const RowRange &jobs,
-                 const RowRange &progress)
+    /// Requires m_mutex.
+    std::int64_t install(CellLoad &load)
     {
-        const auto bytesOf = [](const RowRange &range) {
-            return std::accumulate(
-                range.rows.begin(), range.rows.end(), std::size_t{0},
-                [](std::size_t sum, const Row &row) { return sum + row.value.size(); });
-        };
-        const auto &loaded = m_dispatcher->jobs();
-        const auto ended = std::count_if(loaded.begin(), loaded.end(),
-                                         [](const auto &entry) { return entry.second.settled(); });
-        logEvent(LogLevel::Info, "cell", "cell loaded",
-                 {{"cell", m_cell},
-                  {"epoch", std::to_string(m_record.epoch)},
-                  {"jobRows", std::to_string(jobs.rows.size())},
-                  {"jobBytes", std::to_string(bytesOf(jobs))},
-                  {"progressRows", std::to_string(progress.rows.size())},
-                  {"progressBytes", std::to_string(bytesOf(progress))},
-                  {"endedJobs", std::to_string(ended)},
-                  {"readMs", std::to_string((times[1] - times[0]).count())},
-                  {"rebuildMs", std::to_string((times[2] - times[1]).count())}});
-        m_metrics.observeSeconds("lavender_cell_load_seconds",
-                                 static_cast<double>((times[2] - times[0]).count()) / 1000);
+        m_dispatcher = std::move(load.dispatcher);
+        m_dispatcher->assumeLeases(BootClock::now());
+        m_dispatcher->setCatalog(m_catalog);
+        m_dispatcher->setClosedDataCentres(m_closedDataCentres);
+        setState(State::Serving);
+        return load.inboxVersion;
     }
 
-    StatusOr<std::int64_t> reloadJobs(std::optional<std::int64_t> &first)
+    StatusOr<std::int64_t> reloadJobs(std::optional<std::int64_t> &first,
+                                      const std::stop_token &stop)
     {
         if (first) {
             const std::int64_t version = *first;
             first.reset();
             return version;
         }
-        const auto rows =
-            m_store.read(cells::jobTable, cells::inbox(m_cell), BootClock::now() + loadTimeout);
+        const auto rows = readPartition(m_store, cells::jobTable, cells::inbox(m_cell),
+                                        BootClock::now() + m_loadTimeout, stop);
         if (!rows.ok())
             return rows.status();
         for (const Row &row : rows->rows)
@@ -303,7 +302,7 @@
             std::optional<CellCommit> commit;
             {
                 std::unique_lock lock(m_mutex);
-                const BootTime renewal = m_renewedAt + renewalInterval;
+                const BootTime renewal = m_fence.renewedAt() + renewalInterval;
                 const BootTime now = BootClock::now();
                 const BootTime until = std::min(renewal, nextTick);
                 if (!m_workPending && until > now)
@@ -330,10 +329,7 @@
             if (commit && !commit->inboxRemovals.empty())
                 deleteInboxRows(*commit);
         }
-        m_record.released = true;
-        const bool released = commitFenced({}, BootClock::now() + ownershipCallTimeout);
-        logEvent(LogLevel::Info, "cell", "cell released",
-                 {{"cell", m_cell}, {"confirmed", released ? "yes" : "no"}});
+        m_fence.release();
     }
 
     /// Repeats the commit until it is stored (true). False when another owner has written the owner
@@ -341,25 +337,31 @@
     bool commitUntilStored(const std::stop_token &stop, const CellCommit &commit)
     {
         const BootTime started = BootClock::now();
-        bool ownershipLost = false;
         bool warned = false;
-        while (!commitFenced(commit.writes, BootClock::now() + m_commitTimeout.current(),
-                             &ownershipLost)) {
-            if (ownershipLost || stop.stop_requested() || m_releasing) {
+        while (true) {
+            const auto outcome = m_fence.commit(commit.writes);
+            if (outcome == OwnerFence<Store>::Outcome::Stored)
+                break;
+            const bool lost = outcome == OwnerFence<Store>::Outcome::Lost;
+            if (lost || stop.stop_requested() || m_releasing) {
                 logEvent(LogLevel::Warning, "cell",
                          "another owner took over the cell, or this process is stopping",
-                         {{"cell", m_cell}, {"epoch", std::to_string(m_record.epoch)}});
+                         {{"cell", m_cell},
+                          {"epoch", std::to_string(m_fence.epoch())},
+                          {"lost", lost ? "yes" : "no"}});
                 return false;
             }
             if (!warned)
                 logEvent(LogLevel::Warning, "cell", "commit not confirmed; retrying",
-                         {{"cell", m_cell}, {"sequence", std::to_string(m_record.sequence)}});
+                         {{"cell", m_cell}, {"sequence", std::to_string(m_fence.sequence())}});
             warned = true;
             std::this_thread::sleep_for(cellCommitRetryPause);
         }
         m_metrics.observeSeconds("lavender_commit_seconds",
                                  static_cast<double>((BootClock::now() - started).count()) / 1000);
         const std::scoped_lock lock(m_mutex);
+        if (m_dispatcher == nullptr)
+            return true;
         m_dispatcher->commitApplied(BootClock::now());
         m_workPending = m_workPending || !commit.writes.empty();
         wakeAgents(false);
@@ -377,58 +379,6 @@
                        {{"cell", m_cell}});
     }
 
-    /// Makes one attempt to commit `writes` on the condition that the owner row is unchanged. When
-    /// an attempt without an answer is repeated, its mark shows whether it was stored.
-    /// `ownershipLost` is set when another owner has written the row.
-    bool commitFenced(const std::vector<RowWrite> &writes, BootTime deadline,
-                      bool *ownershipLost = nullptr)
-    {
-        const RowKey key = cells::ownerRowKey(m_cell);
-        OwnerRecord next = m_record;
-        ++next.sequence;
-        if (m_pendingMark.empty())
-            m_pendingMark = makeUniqueId().substr(0, 12);
-        next.mark = m_pendingMark;
-        RowTransaction change;
-        change.conditions.push_back({key, m_version});
-        change.writes = writes;
-        change.writes.push_back({key, Json(next).dump(), false});
-        const BootTime sentAt = BootClock::now();
-        const auto commit = m_store.commit(change, deadline);
-        if (!commit.ok()) {
-            if (kindOf(commit.status()) == ErrorKind::OutcomeUnknown)
-                m_commitTimeout.recordTimeout();
-            m_metrics.increment("lavender_commit_failures");
-            return false;
-        }
-        m_commitTimeout.recordLatency(BootClock::now() - sentAt);
-        if (!commit->committed && !isOwnWrite(*commit, next)) {
-            m_pendingMark.clear();
-            if (ownershipLost != nullptr)
-                *ownershipLost = true;
-            return false;
-        }
-        if (commit->committed)
-            m_version = commit->version;
-        m_record = next;
-        m_pendingMark.clear();
-        const std::scoped_lock lock(m_mutex);
-        m_renewedAt = sentAt;
-        return true;
-    }
-
-    /// True when an earlier attempt of the same write took effect; adopts the version of its row.
-    bool isOwnWrite(const RowCommit &commit, const OwnerRecord &next)
-    {
-        for (const Row &row : commit.current) {
-            if (row.key == cells::ownerRowKey(m_cell) && row.value == Json(next).dump()) {
-                m_version = row.version;
-                return true;
-            }
-        }
-        return false;
-    }
-
     /// Requires m_mutex.
     void logEvents()
     {
@@ -440,23 +390,22 @@
     Metrics &m_metrics;
     const std::string m_cell;
     const std::string m_owner;
-    const std::string m_address;
     const DispatchLimits m_limits;
-    OwnerRecord m_record;       // as last written or read; used by the thread only
-    std::int64_t m_version = 0; // of the owner row; used by the thread only
-    AdaptiveTimeout m_commitTimeout;
-    std::string m_pendingMark; // of a write with unknown outcome; used by the thread only
+    const Milliseconds m_loadTimeout;
+    OwnerFence<Store> m_fence; // used by the thread only, except for its renewedAt()
+    BootTime m_claimAfter{};   // used by the thread only
 
     mutable std::mutex m_mutex;
     std::condition_variable m_work;    // wakes the thread
-    std::condition_variable m_changed; // wakes release()
+    std::condition_variable m_changed; // signals a change of m_state
     /// By agent: wakes its blocked call; guarded by m_mutex.
     std::map<std::string, std::unique_ptr<std::condition_variable>> m_waiters;
-    std::unique_ptr<CellDispatcher> m_dispatcher;  // null when not the owner; guarded by m_mutex
+    State m_state = State::Idle;                   // guarded by m_mutex
+    std::int64_t m_epoch = 0;                      // of the newest ownership; guarded by m_mutex
+    std::unique_ptr<CellDispatcher> m_dispatcher;  // null unless Serving; guarded by m_mutex
     std::shared_ptr<const QueueCatalog> m_catalog; // guarded by m_mutex
     std::set<std::string> m_closedDataCentres;     // guarded by m_mutex
-    BootTime m_renewedAt{};     // when the latest stored renewal was sent; guarded by m_mutex
-    bool m_workPending = false; // guarded by m_mutex
+    bool m_workPending = false;                    // guarded by m_mutex
     std::atomic<bool> m_claiming{true};
     std::atomic<bool> m_releasing{false};
     std::jthread m_thread; // declared last, so joined first
--- /dev/null
+++ b/src/include/lavenderarch/runtime/cell_load.h
@@ -0,0 +1,72 @@
+// Reads a cell that was taken over and rebuilds its dispatcher.
+#pragma once
+
+#include "lavenderarch/core/clock.h"
+#include "lavenderarch/dispatch/cell_dispatcher.h"
+#include "lavenderarch/dispatch/cell_tables.h"
+#include "lavenderarch/storage/read_partition.h"
+#include "lavenderarch/telemetry/log.h"
+#include "lavenderarch/telemetry/metrics.h"
+
+#include <numeric>
+
+namespace lavenderarch {
+
+/// Timeout of reading the rows of a cell. Another owner would read them no faster, unless this
+/// process is cut off from the store.
+inline constexpr Milliseconds cellLoadTimeout{10'000};
+
+/// A dispatcher as of the stored rows, and the version of the inbox to follow from.
+struct CellLoad
+{
+    std::unique_ptr<CellDispatcher> dispatcher;
+    std::int64_t inboxVersion = 0;
+};
+
+/// Reads the rows of `cell` and rebuilds its dispatcher, which may take seconds. Returns an error
+/// when the rows cannot be read until `deadline` or a stop is requested before.
+template <RowStore Store>
+StatusOr<CellLoad> loadCell(Store &store, Metrics &metrics, const std::string &cell,
+                            DispatchLimits limits, std::int64_t epoch, BootTime deadline,
+                            const std::stop_token &stop)
+{
+    const BootTime began = BootClock::now();
+    const auto jobs = readPartition(store, cells::jobTable, cells::inbox(cell), deadline, stop);
+    if (!jobs.ok())
+        return jobs.status();
+    const auto progress = readPartition(store, cells::progressTable, cell, deadline, stop);
+    if (!progress.ok())
+        return progress.status();
+    const auto model = store.readOne({cells::modelTable, cell, cells::tailsKey},
+                                     std::min(deadline, BootClock::now() + pageTimeout));
+    const BootTime rowsRead = BootClock::now();
+    CellLoad load{std::make_unique<CellDispatcher>(cell, limits, epoch), jobs->version};
+    load.dispatcher->load(jobs->rows, progress->rows, rowsRead);
+    if (model.ok() && model->version != 0)
+        load.dispatcher->loadTailModel(model->value);
+    const BootTime rebuilt = BootClock::now();
+
+    const auto bytesOf = [](const std::vector<Row> &rows) {
+        return std::accumulate(
+            rows.begin(), rows.end(), std::size_t{0},
+            [](std::size_t sum, const Row &row) { return sum + row.value.size(); });
+    };
+    const auto &loaded = load.dispatcher->jobs();
+    const auto ended = std::count_if(loaded.begin(), loaded.end(),
+                                     [](const auto &entry) { return entry.second.settled(); });
+    logEvent(LogLevel::Info, "cell", "cell loaded",
+             {{"cell", cell},
+              {"epoch", std::to_string(epoch)},
+              {"jobRows", std::to_string(jobs->rows.size())},
+              {"jobBytes", std::to_string(bytesOf(jobs->rows))},
+              {"progressRows", std::to_string(progress->rows.size())},
+              {"progressBytes", std::to_string(bytesOf(progress->rows))},
+              {"endedJobs", std::to_string(ended)},
+              {"readMs", std::to_string((rowsRead - began).count())},
+              {"rebuildMs", std::to_string((rebuilt - rowsRead).count())}});
+    metrics.observeSeconds("lavender_cell_load_seconds",
+                           static_cast<double>((rebuilt - began).count()) / 1000);
+    return load;
+}
+
+} // namespace lavenderarch
--- a/src/include/lavenderarch/storage/row_store.h
+++ b/src/include/lavenderarch/storage/row_store.h
@@ -4,6 +4,7 @@
 #include "lavenderarch/core/boot_clock.h"
 #include "lavenderarch/core/status.h"
 #include "lavenderarch/storage/row_commit.h"
+#include "lavenderarch/storage/row_page.h"
 #include "lavenderarch/storage/row_range.h"
 #include "lavenderarch/storage/row_transaction.h"
 
@@ -14,7 +15,7 @@
 /// Thread-safe access to rows.
 /// commit: StoreUnavailable when nothing was or will be applied; OutcomeUnknown when the write may
 /// be applied, even later. read: all rows of a partition of a table; each page is a consistent
-/// snapshot. readOne: the row, version 0 when absent. follow: waits for changes of a table after
+/// snapshot. readPage: the first page of the rows whose key is `from` or greater. readOne: the row, version 0 when absent. follow: waits for changes of a table after
 /// `version` until `deadline`; NotFound when the changes since `version` are no longer kept and the
 /// rows must be read again.
 template <typename T>
@@ -27,6 +28,9 @@
     {
         store.read(text, text, deadline)
         } -> std::same_as<StatusOr<RowRange>>;
+    {
+        store.readPage(text, text, text, deadline)
+        } -> std::same_as<StatusOr<RowPage>>;
     {
         store.readOne(key, deadline)
         } -> std::same_as<StatusOr<Row>>;
--- a/src/libdispatch/cell_dispatcher.cpp
+++ b/src/libdispatch/cell_dispatcher.cpp
@@ -99,6 +99,12 @@
     }
 }
 
+void CellDispatcher::assumeLeases(BootTime now)
+{
+    for (auto &[agent, view] : m_minions)
+        view.leaseStart = now;
+}
+
 void CellDispatcher::loadTailModel(const std::string &text)
 {
     if (!m_tailModel.load(text))
--- a/src/libdispatch/ownership_watch.cpp
+++ b/src/libdispatch/ownership_watch.cpp
@@ -40,7 +40,7 @@
     ++m_reads;
     const Milliseconds delay =
         m_fastestRead > nearStoreReadTime ? remoteTakeoverDelay : Milliseconds(0);
-    m_unchangedFor = sentAt - m_since;
+    m_unchangedFor = std::max(sentAt - m_since, Milliseconds(0));
     m_reason = version == 0                ? Reason::NoOwner
                : record.released           ? Reason::Released
                : isPreviousProcess(record) ? Reason::Restarted
--- a/src/libruntime/runtime_test.cpp
+++ b/src/libruntime/runtime_test.cpp
@@ -25,6 +25,24 @@
     return BootClock::now() + Milliseconds(milliseconds);
 }
 
+/// Epoch in the owner row of the cell "svc".
+std::int64_t storedEpoch(MemoryRows &store)
+{
+    const auto row = store.readOne(cells::ownerRowKey("svc"), deadlineIn(1000));
+    return row.ok() && row->version != 0 ? parseJson(row->value, "row")->at("epoch").get<int>() : 0;
+}
+
+ExchangeRequest pollOf(const std::string &agent, std::int64_t number, std::int64_t epoch)
+{
+    ExchangeRequest request;
+    request.agent = agent;
+    request.session = "s";
+    request.number = number;
+    request.epoch = epoch;
+    request.reachable = true;
+    return request;
+}
+
 /// Polls until `condition` holds. False after ten seconds, which is far longer than any wait of
 /// these tests takes.
 template <typename Condition>
@@ -132,3 +150,89 @@
     CHECK(second.exchange(request)->epoch == 2);
     CHECK(kindOf(first->exchange(request).status()) == ErrorKind::StaleCommand);
 }
+
+// Guards against ownership that moves on each time before a slow load ends.
+TEST_CASE("a cell whose load takes longer than the takeover timeout stays with its new owner")
+{
+    MemoryRows store;
+    Metrics metrics;
+    JobStateCache states;
+    JobFrontend<MemoryRows> frontend(store, states);
+    for (const char *id : {"a", "b", "c", "d", "e", "f", "g"})
+        REQUIRE(frontend.submit(job(id), deadlineIn(5000)).ok());
+    store.holdReads(cells::jobTable);
+    CellHost<MemoryRows> first(store, metrics, "svc", "vm-a-1", "1.1.1.1:1", DispatchLimits{});
+    CellHost<MemoryRows> second(store, metrics, "svc", "vm-b-1", "1.1.1.2:1", DispatchLimits{});
+    // The process that does not own the cell reads the owner row at each watchInterval.
+    const auto enough = static_cast<int>(2 * ownerTakeoverTimeout / watchInterval);
+    REQUIRE(eventually([&] { return store.singleReads() >= enough; }));
+    CHECK_FALSE((first.owns() || second.owns()));
+    store.letReadsGo();
+    REQUIRE(eventually([&] { return first.owns() || second.owns(); }));
+    CHECK(storedEpoch(store) == 1);
+}
+
+// Guards against leases that lapse while a new owner loads its cell.
+TEST_CASE("a poll is granted a lease while the cell is loaded, and its runs are known afterwards")
+{
+    MemoryRows store;
+    Metrics metrics;
+    store.holdReads(cells::jobTable);
+    CellHost<MemoryRows> host(store, metrics, "svc", "vm-a-1", "1.1.1.1:1", DispatchLimits{});
+    REQUIRE(eventually([&] { return storedEpoch(store) == 1; }));
+    StatusOr<ExchangeReply> reply = makeError(ErrorKind::StaleCommand, "");
+    REQUIRE(eventually([&] {
+        reply = host.exchange(pollOf("agent", 1, 0));
+        return reply.ok();
+    }));
+    CHECK_FALSE(host.owns());
+    CHECK(reply->epoch == 1);
+    CHECK(reply->grantMs == DispatchLimits{}.leaseMs);
+    CHECK(reply->orders.empty());
+    ExchangeRequest unreachable = pollOf("silent", 1, 0);
+    unreachable.reachable = false;
+    CHECK(host.exchange(unreachable)->grantMs == 0);
+    // A poll that knows the epoch is answered by the loaded owner.
+    std::jthread letGo([&] { store.letReadsGo(); });
+    ExchangeRequest waiting = pollOf("agent", 2, 1);
+    waiting.waitMs = 10'000;
+    CHECK(host.exchange(waiting)->epoch == 1);
+    CHECK(host.owns());
+}
+
+// Guards against an owner that keeps, or claims again at once, a cell that it cannot load.
+TEST_CASE("a cell that cannot be loaded is released and not claimed again at once")
+{
+    MemoryRows store;
+    Metrics metrics;
+    store.holdReads(cells::jobTable);
+    CellHost<MemoryRows> host(store, metrics, "svc", "vm-a-1", "1.1.1.1:1", DispatchLimits{},
+                              Milliseconds(300));
+    const auto isReleased = [&] {
+        const auto row = store.readOne(cells::ownerRowKey("svc"), deadlineIn(1000));
+        return row->version != 0 && parseJson(row->value, "row")->at("released").get<bool>();
+    };
+    REQUIRE(eventually(isReleased));
+    const int reads = store.singleReads();
+    REQUIRE(eventually([&] { return store.singleReads() >= reads + 5; }));
+    CHECK(isReleased());
+    CHECK(storedEpoch(store) == 1);
+    store.letReadsGo();
+    CellHost<MemoryRows> other(store, metrics, "svc", "vm-b-1", "1.1.1.2:1", DispatchLimits{});
+    REQUIRE(eventually([&] { return other.owns(); }));
+    CHECK(storedEpoch(store) == 2);
+}
+
+TEST_CASE("a cell is released while it is loaded")
+{
+    MemoryRows store;
+    Metrics metrics;
+    store.holdReads(cells::jobTable);
+    CellHost<MemoryRows> host(store, metrics, "svc", "vm-a-1", "1.1.1.1:1", DispatchLimits{});
+    REQUIRE(eventually([&] { return storedEpoch(store) == 1; }));
+    host.release();
+    CHECK(store.readOne(cells::ownerRowKey("svc"), deadlineIn(1000))
+              ->value.find("\"released\":true") != std::string::npos);
+    CHECK(kindOf(host.exchange(pollOf("agent", 1, 0)).status()) == ErrorKind::StaleCommand);
+    store.letReadsGo();
+}
--- a/src/testing/memory_rows.h
+++ b/src/testing/memory_rows.h
@@ -4,12 +4,14 @@
 #include "lavenderarch/storage/row_store.h"
 
 #include <condition_variable>
+#include <limits>
 #include <map>
 #include <mutex>
 
 namespace lavenderarch::testing {
 
-/// Thread-safe. Faults apply to commits only; reads and the change feed always succeed.
+/// Thread-safe. Faults apply to commits only. The change feed and readOne() always succeed; reads
+/// of partitions can be held back.
 class MemoryRows
 {
 public:
@@ -24,6 +26,24 @@
         const std::scoped_lock lock(m_mutex);
         m_fault = fault;
     }
+    /// While held, reads of the table's partitions wait until they are let go or time out.
+    void holdReads(const std::string &table)
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_heldTable = table;
+    }
+    void letReadsGo()
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_heldTable.clear();
+        m_changed.notify_all();
+    }
+    /// Number of calls of readOne().
+    int singleReads() const
+    {
+        const std::scoped_lock lock(m_mutex);
+        return m_singleReads;
+    }
     int commits() const
     {
         const std::scoped_lock lock(m_mutex);
@@ -62,21 +82,24 @@
         return result;
     }
 
-    StatusOr<RowRange> read(const std::string &table, const std::string &partition, BootTime)
+    StatusOr<RowRange> read(const std::string &table, const std::string &partition,
+                            BootTime deadline)
     {
-        const std::scoped_lock lock(m_mutex);
-        RowRange range;
-        range.version = m_version;
-        for (const auto &[key, row] : m_rows) {
-            if (key.table == table && key.partition == partition)
-                range.rows.push_back(row);
-        }
-        return range;
+        const auto page =
+            readRows(table, partition, "", std::numeric_limits<std::size_t>::max(), deadline);
+        return page.ok() ? StatusOr<RowRange>(page->range) : StatusOr<RowRange>(page.status());
+    }
+
+    StatusOr<RowPage> readPage(const std::string &table, const std::string &partition,
+                               const std::string &from, BootTime deadline)
+    {
+        return readRows(table, partition, from, pageRows, deadline);
     }
 
     StatusOr<Row> readOne(const RowKey &key, BootTime)
     {
         const std::scoped_lock lock(m_mutex);
+        ++m_singleReads;
         const auto row = m_rows.find(key);
         return row == m_rows.end() ? Row{key, "", 0, false} : row->second;
     }
@@ -100,10 +123,38 @@
     }
 
 private:
+    /// Small, so that a few rows take several pages.
+    static constexpr std::size_t pageRows = 3;
+
+    StatusOr<RowPage> readRows(const std::string &table, const std::string &partition,
+                               const std::string &from, std::size_t limit, BootTime deadline)
+    {
+        std::unique_lock lock(m_mutex);
+        while (m_heldTable == table) {
+            const BootTime now = BootClock::now();
+            if (now >= deadline)
+                return makeError(ErrorKind::StoreUnavailable, "timed out");
+            m_changed.wait_for(lock, deadline - now);
+        }
+        RowPage page;
+        page.range.version = m_version;
+        for (const auto &[key, row] : m_rows) {
+            if (key.table != table || key.partition != partition || key.key < from)
+                continue;
+            page.more = page.range.rows.size() == limit;
+            if (page.more)
+                break;
+            page.range.rows.push_back(row);
+        }
+        return page;
+    }
+
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
     Fault m_fault = Fault::None;
     int m_commits = 0;
+    int m_singleReads = 0;
+    std::string m_heldTable; // its partitions cannot be read
     std::int64_t m_version = 0;
     std::map<RowKey, Row> m_rows;
     std::vector<Row> m_changes;
