Start orders carry a deadline that follows from the owner's oldest input

Callers saw UNASKED on grown sites with processor time charged: a task started 4.2 s after the acknowledged cancellation of its job (allowed: 4 s). Every hop of a start had a bound of its own (inbox heard at most 2.5 s ago, commit without one, poll up to 1.8 s, order threads 3 s), the sum had none. In addition the age of the inbox was counted from the moment at which the owner handled an answer, before it had applied the rows, and after a takeover from the start of the follower instead of the sending of the read. Evacuations had no bound at all.

Now the owner knows as of when it has applied all changes of the inbox and all evacuations: the sending of the call. The reply to an agent gives each start the time left until cancelMs or evacuateMs after that, from the arrival of the agent's request, so that a poll that was held open takes nothing from it; 0 once the data centre is closed. The agent counts it from the sending of its request, as it does leases, reports a late order as absent (the owner places the task again), and checks it before each attempt, whose timeout ends with it. An owner that could not get a start through in 500 ms places nothing, which replaces the fixed 2.5 s. Without the field an order has no deadline, so builds mix in a roll. A drain needs none: the agent itself hears of it and checks it before each attempt.

Logs: `run placed` gives inboxAgeMs, `start sent to the minion` startTimeLeftMs.

--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -38,13 +38,25 @@
     void loadTailModel(const std::string &text);
     void setCatalog(std::shared_ptr<const QueueCatalog> catalog);
     void setClosedDataCentres(std::set<std::string> dataCentres);
+    /// All changes of the job table that were stored by `asOf` have been applied.
+    void setInboxTime(BootTime asOf) { m_inboxTime = std::max(m_inboxTime, asOf); }
+    /// All evacuations that were stored by `asOf` have been applied.
+    void setEvacuationsTime(BootTime asOf)
+    {
+        m_evacuationsTime = std::max(m_evacuationsTime, asOf);
+    }
+    /// Time until which a task may start that is not cancelled and not in an evacuated data centre
+    /// as far as the applied inputs show. BootTime::max() without limits.
+    BootTime startBy() const;
+    /// True if a task placed at `now` can be started in time.
+    bool canStartInTime(BootTime now) const;
 
     /// Processes an agent's message. If `mayGrant` and the minion is reachable, a lease is assumed
     /// to start at `now`.
     void handleRequest(const ExchangeRequest &request, BootTime now, bool mayGrant);
-    /// Reply to the agent: all orders that it has not confirmed, and a lease if the minion is
-    /// reachable. Without `mayGrant` it holds neither.
-    ExchangeReply reply(const std::string &agent, bool mayGrant);
+    /// Reply to the agent's request that arrived at `arrived`: all orders that it has not
+    /// confirmed, and a lease if the minion is reachable. Without `mayGrant` it holds neither.
+    ExchangeReply reply(const std::string &agent, BootTime arrived, bool mayGrant);
     bool hasOrders(const std::string &agent) const;
 
     /// Ends the runs of minions whose lease has lapsed, stops stalled and slowed runs, and creates
@@ -103,6 +115,8 @@
     void stop(MinionView &view, const RunKey &run, TaskState &task);
     void stopActive(JobModel &job);
     void send(MinionView &view, RunOrder order, std::int64_t &sequence);
+    /// RunOrder::startWithinMs of a start in the reply to a request that arrived at `arrived`.
+    std::int64_t startWithinMs(const MinionView &view, BootTime arrived) const;
 
     void stopStalledRuns(MinionView &view, BootTime now);
     void placeWaiting(BootTime now);
@@ -122,6 +136,8 @@
     std::int64_t m_epoch;
     std::shared_ptr<const QueueCatalog> m_catalog;
     std::set<std::string> m_closedDataCentres;
+    BootTime m_inboxTime{};
+    BootTime m_evacuationsTime{};
     std::map<std::string, JobModel> m_jobs;
     std::map<std::string, MinionView> m_minions; // by agent
     /// Jobs that have not reached a final phase, by (priority, time of acceptance, id).
--- a/src/include/lavenderarch/dispatch/run_ledger.h
+++ b/src/include/lavenderarch/dispatch/run_ledger.h
@@ -26,6 +26,7 @@
     {
         Phase phase = Phase::Starting;
         BootTime since{};                      ///< time of the start order or of its confirmation
+        BootTime startBy = BootTime::max();    ///< the start is not sent from then on
         std::optional<BootTime> stopConfirmed; ///< time of the first answer to a stop
         bool stopRequested = false;
         bool listed = false;     ///< the minion has listed the run
@@ -83,6 +84,8 @@
     std::optional<Lease> lease(BootTime now) const;
     /// True while the run is known and no stop of it has been ordered.
     bool shouldRun(const RunKey &run) const;
+    /// The time from which the start of the run is no longer sent; BootTime::max() for none.
+    BootTime startBy(const RunKey &run) const;
 
     /// The next message to the owner, with the current state and all unconfirmed ends.
     ExchangeRequest snapshot(std::int64_t waitMs);
--- a/src/include/lavenderarch/dispatch/run_order.h
+++ b/src/include/lavenderarch/dispatch/run_order.h
@@ -28,6 +28,9 @@
     std::int64_t tailTargetMs = 0; ///< of a serving run; 0: none
     std::string image;             ///< image of the task
     std::int64_t milliCores = 0;   ///< thousandths of a core that the task uses at full pace
+    /// Time in which the run may start, from the sending of the request that this order answers;
+    /// negative: no limit.
+    std::int64_t startWithinMs = -1;
 
     friend bool operator==(const RunOrder &, const RunOrder &) = default;
 };
--- a/src/include/lavenderarch/runtime/agent_loop.h
+++ b/src/include/lavenderarch/runtime/agent_loop.h
@@ -303,8 +303,8 @@
         }
     }
 
-    /// Sends the start until the minion answers, the run is no longer wanted or startTimeout
-    /// passes.
+    /// Sends the start until the minion answers, the run is no longer wanted, or startTimeout or
+    /// the start deadline of the order passes.
     void start(const std::stop_token &stop, const RunOrder &order)
     {
         const BootTime began = BootClock::now();
@@ -312,24 +312,27 @@
         while (!stop.stop_requested()) {
             ControlContext context;
             std::optional<Lease> lease;
+            BootTime startBy{};
             {
                 const std::scoped_lock lock(m_mutex);
                 if (!m_ledger.shouldRun(order.run))
                     return;
+                startBy = m_ledger.startBy(order.run);
                 context = {m_ledger.facts().incarnation, m_ledger.epoch()};
                 if (!m_ledger.facts().draining)
                     lease = m_ledger.lease(BootClock::now());
                 if (lease)
                     m_ledger.renewalSent(*lease);
             }
-            const bool late = BootClock::now() >= began + startTimeout;
+            const BootTime now = BootClock::now();
+            const bool late = now >= std::min(began + startTimeout, startBy);
             MinionAnswer answer;
             if (lease && !late) {
-                answer =
-                    m_minion.start(context, order, *lease, BootClock::now() + orderAttemptTimeout);
-                logStart(order.run, answer, began);
+                answer = m_minion.start(context, order, *lease,
+                                        std::min(now + orderAttemptTimeout, startBy));
+                logStart(order.run, answer, began, startBy);
             } else {
-                answer = {OrderAnswer::Refused, late ? "no answer in time" : "no lease", 0};
+                answer = {OrderAnswer::Refused, late ? "not started in time" : "no lease", 0};
             }
             if (answer.answer == OrderAnswer::Accepted || answer.answer == OrderAnswer::Ended) {
                 handleStarted(context, order);
@@ -401,16 +404,20 @@
         }
     }
 
-    void logStart(const RunKey &run, const MinionAnswer &answer, BootTime began)
+    void logStart(const RunKey &run, const MinionAnswer &answer, BootTime began, BootTime startBy)
     {
+        const BootTime now = BootClock::now();
         m_metrics.increment("lavender_starts_total",
                             {{"answer", std::string(answerName(answer.answer))}});
-        logEvent(LogLevel::Info, "agent", "start sent to the minion",
-                 {{"task", run.task},
-                  {"run", std::to_string(run.number)},
-                  {"answer", std::string(answerName(answer.answer))},
-                  {"reason", answer.reason},
-                  {"sinceOrderMs", std::to_string((BootClock::now() - began).count())}});
+        logEvent(
+            LogLevel::Info, "agent", "start sent to the minion",
+            {{"task", run.task},
+             {"run", std::to_string(run.number)},
+             {"answer", std::string(answerName(answer.answer))},
+             {"reason", answer.reason},
+             {"sinceOrderMs", std::to_string((now - began).count())},
+             {"startTimeLeftMs",
+              startBy == BootTime::max() ? "unlimited" : std::to_string((startBy - now).count())}});
     }
 
     Store &m_store;
--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -24,9 +24,6 @@
 inline constexpr Milliseconds tickInterval{250};
 /// Timeout of reading all rows of a cell, as at a takeover.
 inline constexpr Milliseconds loadTimeout{3000};
-/// An owner whose view of the inbox is older than this places no tasks. No task may start later
-/// than 3 s after its job's cancellation, and the commit and the start take part of that time.
-inline constexpr Milliseconds inboxMaxAge{2500};
 
 /// Competes for the cell on a thread of its own until destruction. Does not own the store or the
 /// metrics, which must outlive it. Thread-safe: m_mutex is the only lock, and no call to the store
@@ -84,6 +81,15 @@
             m_dispatcher->setClosedDataCentres(m_closedDataCentres);
     }
 
+    /// All evacuations that were stored by `asOf` are in the set given to setClosedDataCentres().
+    void setEvacuationsTime(BootTime asOf)
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_evacuationsTime = asOf;
+        if (m_dispatcher != nullptr)
+            m_dispatcher->setEvacuationsTime(asOf);
+    }
+
     /// Handles an agent's request. Blocks until there are orders for the agent, for at most the
     /// request's waitMs. StaleCommand when this process does not own the cell.
     StatusOr<ExchangeReply> exchange(const ExchangeRequest &request)
@@ -107,7 +113,7 @@
         }
         if (m_dispatcher == nullptr || m_dispatcher->epoch() != epoch)
             return notOwner();
-        return m_dispatcher->reply(request.agent, ownershipValid());
+        return m_dispatcher->reply(request.agent, arrived, ownershipValid());
     }
 
     bool owns() const
@@ -199,7 +205,8 @@
     /// released.
     void loadAndServe(const std::stop_token &stop)
     {
-        const BootTime deadline = BootClock::now() + loadTimeout;
+        const BootTime readAt = BootClock::now();
+        const BootTime deadline = readAt + loadTimeout;
         const auto jobs = m_store.read(cells::jobTable, cells::inbox(m_cell), deadline);
         const auto progress =
             jobs.ok() ? m_store.read(cells::progressTable, m_cell, deadline) : jobs;
@@ -219,13 +226,15 @@
                 m_dispatcher->loadTailModel(model->value);
             m_dispatcher->setCatalog(m_catalog);
             m_dispatcher->setClosedDataCentres(m_closedDataCentres);
+            m_dispatcher->setInboxTime(readAt);
+            m_dispatcher->setEvacuationsTime(m_evacuationsTime);
         }
-        const auto version = std::make_shared<std::optional<std::int64_t>>(jobs->version);
         {
             RowFollower<Store> follower(
-                m_store, cells::jobTable, [this, version] { return reloadJobs(*version); },
-                [this](const Row &row) { applyJobRow(row); });
-            serve(stop, follower);
+                m_store, cells::jobTable, [this] { return reloadJobs(); },
+                [this](const Row &row) { applyJobRow(row); },
+                [this](BootTime asOf) { inboxRead(asOf); }, jobs->version);
+            serve(stop);
             // Reset before the follower is destroyed, which may take as long as one of its calls.
             const std::scoped_lock lock(m_mutex);
             m_dispatcher.reset();
@@ -234,13 +243,8 @@
         }
     }
 
-    StatusOr<std::int64_t> reloadJobs(std::optional<std::int64_t> &first)
+    StatusOr<std::int64_t> reloadJobs()
     {
-        if (first) {
-            const std::int64_t version = *first;
-            first.reset();
-            return version;
-        }
         const auto rows =
             m_store.read(cells::jobTable, cells::inbox(m_cell), BootClock::now() + loadTimeout);
         if (!rows.ok())
@@ -262,7 +266,14 @@
         m_work.notify_all();
     }
 
-    void serve(const std::stop_token &stop, const RowFollower<Store> &inbox)
+    void inboxRead(BootTime asOf)
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (m_dispatcher != nullptr)
+            m_dispatcher->setInboxTime(asOf);
+    }
+
+    void serve(const std::stop_token &stop)
     {
         BootTime nextTick = BootClock::now();
         while (true) {
@@ -283,9 +294,9 @@
                     m_dispatcher->tick(BootClock::now(), toEpochMs(SystemClock().now()));
                     nextTick = BootClock::now() + tickInterval;
                 }
-                // Without the latest cancellations no task may be placed.
-                const bool current = BootClock::now() - inbox.lastAnswer() < inboxMaxAge;
-                commit = m_dispatcher->prepareCommit(BootClock::now(), current);
+                const BootTime placedAt = BootClock::now();
+                commit =
+                    m_dispatcher->prepareCommit(placedAt, m_dispatcher->canStartInTime(placedAt));
                 logEvents();
                 wakeAgents(false);
                 if (!commit && BootClock::now() < renewal)
@@ -421,6 +432,7 @@
     std::unique_ptr<CellDispatcher> m_dispatcher;  // null when not the owner; guarded by m_mutex
     std::shared_ptr<const QueueCatalog> m_catalog; // guarded by m_mutex
     std::set<std::string> m_closedDataCentres;     // guarded by m_mutex
+    BootTime m_evacuationsTime{};                  // guarded by m_mutex
     BootTime m_renewedAt{};     // when the latest stored renewal was sent; guarded by m_mutex
     bool m_workPending = false; // guarded by m_mutex
     std::atomic<bool> m_claiming{true};
--- a/src/include/lavenderarch/runtime/row_follower.h
+++ b/src/include/lavenderarch/runtime/row_follower.h
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <functional>
+#include <optional>
 #include <thread>
 
 namespace lavenderarch {
@@ -18,20 +19,29 @@
 inline constexpr Milliseconds followRetryPause{150};
 
 /// Runs from construction to destruction. `reload` reads all rows and returns the version to follow
-/// from, or an error; `change` handles one changed row. Both are called on the follower's thread.
-/// Thread-safe. Does not own the store, which must outlive it.
+/// from, or an error; `change` handles one changed row; `current` learns that all changes stored by
+/// a time have been handled. They are called on the follower's thread. Thread-safe. Does not own
+/// the store, which must outlive it.
 template <RowStore Store>
 class RowFollower
 {
 public:
     using Reload = std::function<StatusOr<std::int64_t>()>;
     using Change = std::function<void(const Row &)>;
+    using Current = std::function<void(BootTime asOf)>;
 
-    RowFollower(Store &store, std::string table, Reload reload, Change change)
+    /// With `loadedVersion`, the caller has read the rows as of that version, and following starts
+    /// from there.
+    RowFollower(
+        Store &store, std::string table, Reload reload, Change change,
+        Current current = [](BootTime) {}, std::optional<std::int64_t> loadedVersion = std::nullopt)
         : m_store(store)
         , m_table(std::move(table))
         , m_reload(std::move(reload))
         , m_change(std::move(change))
+        , m_current(std::move(current))
+        , m_version(loadedVersion.value_or(0))
+        , m_loaded(loadedVersion.has_value())
         , m_thread([this](const std::stop_token &stop) { run(stop); })
     {
     }
@@ -66,15 +76,19 @@
     Status followOnce()
     {
         if (!m_loaded || m_reloadRequested.exchange(false)) {
+            const BootTime readAt = BootClock::now();
             const auto version = m_reload();
             if (!version.ok())
                 return version.status();
             m_version = *version;
             m_loaded = true;
             m_lastAnswer = BootClock::now();
+            m_current(readAt);
         }
-        const auto changes =
-            m_store.follow(m_table, m_version, BootClock::now() + followWait + followSlack);
+        // An answer may be read long after the store has sent it, so that it proves nothing about
+        // changes stored after the call.
+        const BootTime sentAt = BootClock::now();
+        const auto changes = m_store.follow(m_table, m_version, sentAt + followWait + followSlack);
         if (!changes.ok() && kindOf(changes.status()) == ErrorKind::NotFound) {
             logEvent(LogLevel::Info, "follower",
                      "change history no longer available; reloading the table",
@@ -88,6 +102,7 @@
         for (const Row &row : changes->rows)
             m_change(row);
         m_version = std::max(m_version, changes->version);
+        m_current(sentAt);
         return absl::OkStatus();
     }
 
@@ -95,8 +110,9 @@
     const std::string m_table;
     const Reload m_reload;
     const Change m_change;
-    std::int64_t m_version = 0; // used by the thread only
-    std::atomic<bool> m_loaded{false};
+    const Current m_current;
+    std::int64_t m_version; // used by the thread only
+    std::atomic<bool> m_loaded;
     std::atomic<bool> m_reloadRequested{false};
     std::atomic<BootTime> m_lastAnswer{BootTime{}};
     std::jthread m_thread; // declared last, so joined first
--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -12,6 +12,9 @@
 /// clock may run 2 % slow, and messages take time.
 constexpr double clockDrift = 1.02;
 constexpr Milliseconds leaseMargin{300};
+/// Time that a start needs from its placement: the commit, the agent's poll and the call of the
+/// minion.
+constexpr Milliseconds minStartTime{500};
 /// Pace in percent below which a best-effort run counts as slowed.
 constexpr int slowPacePercent = 40;
 /// A minion is suspect once this many jobs have failed on it. Each success in between removes one
@@ -55,7 +58,32 @@
         processRuns(view, request, now);
 }
 
-ExchangeReply CellDispatcher::reply(const std::string &agent, bool mayGrant)
+BootTime CellDispatcher::startBy() const
+{
+    BootTime startBy = BootTime::max();
+    if (m_limits.cancelMs > 0)
+        startBy = std::min(startBy, m_inboxTime + Milliseconds(m_limits.cancelMs));
+    if (m_limits.evacuateMs > 0)
+        startBy = std::min(startBy, m_evacuationsTime + Milliseconds(m_limits.evacuateMs));
+    return startBy;
+}
+
+bool CellDispatcher::canStartInTime(BootTime now) const
+{
+    return now + minStartTime <= startBy();
+}
+
+std::int64_t CellDispatcher::startWithinMs(const MinionView &view, BootTime arrived) const
+{
+    if (m_closedDataCentres.count(view.facts.dataCentre) != 0)
+        return 0;
+    const BootTime until = startBy();
+    if (until == BootTime::max())
+        return -1;
+    return std::max<std::int64_t>(0, (until - arrived).count());
+}
+
+ExchangeReply CellDispatcher::reply(const std::string &agent, BootTime arrived, bool mayGrant)
 {
     MinionView &view = m_minions[agent];
     ExchangeReply reply;
@@ -67,6 +95,12 @@
     reply.endsSeen = view.endsSeen;
     reply.absentSeen = std::exchange(view.absentSeen, {});
     reply.orders.assign(view.outbox.begin(), view.outbox.end());
+    for (RunOrder &order : reply.orders) {
+        // Jobs cancelled and data centres evacuated since the placement are known by now, so that
+        // the deadline follows from the newest inputs.
+        if (order.kind == OrderKind::Start)
+            order.startWithinMs = startWithinMs(view, arrived);
+    }
     if (std::exchange(view.weightsDue, false))
         reply.weights = tailWeights(view, m_tailModel);
     return reply;
--- a/src/libdispatch/cell_dispatcher_placement.cpp
+++ b/src/libdispatch/cell_dispatcher_placement.cpp
@@ -214,6 +214,7 @@
                                {"agent", view.agent},
                                {"minion", task.incarnation.id},
                                {"heardMsAgo", std::to_string((now - view.lastHeard).count())},
+                               {"inboxAgeMs", std::to_string((now - m_inboxTime).count())},
                                {"catalogVersion", std::to_string(m_catalog->version)}});
     m_staged[job.spec().id].orders.emplace_back(view.agent, std::move(order));
 }
--- a/src/libdispatch/dispatch_json.cpp
+++ b/src/libdispatch/dispatch_json.cpp
@@ -59,6 +59,7 @@
     out["tailTargetMs"] = order.tailTargetMs;
     out["image"] = order.image;
     out["milliCores"] = order.milliCores;
+    out["startWithinMs"] = order.startWithinMs;
 }
 
 void from_json(const Json &in, RunOrder &order)
@@ -74,6 +75,7 @@
     order.tailTargetMs = in.value("tailTargetMs", defaults.tailTargetMs);
     order.image = in.value("image", defaults.image);
     order.milliCores = in.value("milliCores", defaults.milliCores);
+    order.startWithinMs = in.value("startWithinMs", defaults.startWithinMs);
 }
 
 void to_json(Json &out, const TailWeight &weight)
--- a/src/libdispatch/run_ledger.cpp
+++ b/src/libdispatch/run_ledger.cpp
@@ -110,12 +110,17 @@
             break;
         m_orderSeen = order.sequence;
         if (order.kind == OrderKind::Start) {
-            if (m_facts.draining || now >= m_grantUntil) {
-                addAbsent(order.run, m_facts.draining ? "the minion drains" : "no lease");
-                continue;
-            }
             LocalRun run;
             run.since = now;
+            // Counted from the request, like the lease, as the transfer time is unknown.
+            if (order.startWithinMs >= 0)
+                run.startBy = sentAt + Milliseconds(order.startWithinMs);
+            if (m_facts.draining || now >= m_grantUntil || now >= run.startBy) {
+                addAbsent(order.run, m_facts.draining     ? "the minion drains"
+                                     : now >= run.startBy ? "received after its start deadline"
+                                                          : "no lease");
+                continue;
+            }
             run.describe(order);
             m_runs.insert_or_assign(order.run, run);
         } else if (order.kind == OrderKind::Stop) {
@@ -259,6 +264,12 @@
     return found != m_runs.end() && !found->second.stopRequested;
 }
 
+BootTime RunLedger::startBy(const RunKey &run) const
+{
+    const auto found = m_runs.find(run);
+    return found != m_runs.end() ? found->second.startBy : BootTime::max();
+}
+
 ExchangeRequest RunLedger::snapshot(std::int64_t waitMs)
 {
     ExchangeRequest request;
--- a/src/libdispatch/simulated_cell.h
+++ b/src/libdispatch/simulated_cell.h
@@ -24,6 +24,8 @@
     int agentPartition = 0; ///< the agent cannot reach the owner for 3 to 12 s
     int delayedOrder = 0;   ///< per start order: it is executed up to 9 s late
     int lostCommit = 0;     ///< per commit: its answer is lost
+    int lateReply = 0;      ///< per reply of the owner: it reaches the agent 1 to 6 s late
+    int lateInbox = 0;      ///< the owner learns of changes of the inbox only after 1 to 4 s
     int cancel = 0;
 };
 
@@ -56,8 +58,7 @@
         job.acceptedMs = m_now.time_since_epoch().count();
         m_specs[job.id] = job;
         apply({cells::jobWrite("svc", job), cells::queuedWrite("svc", job)});
-        if (m_owner)
-            m_owner->applyJobRow(m_rows.at(cells::jobKey("svc", job.id)), m_now);
+        hear(cells::jobKey("svc", job.id));
     }
 
     void cancel(const std::string &id)
@@ -65,8 +66,7 @@
         if (!m_cancelledAt.try_emplace(id, m_now).second)
             return;
         apply({{cells::cancelKey("svc", id), "{}", false}});
-        if (m_owner)
-            m_owner->applyJobRow(m_rows.at(cells::cancelKey("svc", id)), m_now);
+        hear(cells::cancelKey("svc", id));
     }
 
     void advance(Milliseconds duration)
@@ -107,12 +107,19 @@
     bool trace = std::getenv("LAVENDER_TRACE") != nullptr;
 
 private:
+    struct LateReply
+    {
+        BootTime at{};
+        BootTime sentAt{}; // of the request
+        ExchangeReply reply;
+    };
     struct Agent
     {
         std::string name;
         SimulatedMinion minion;
         std::unique_ptr<RunLedger> ledger;
         std::deque<RunOrder> orders;
+        std::optional<LateReply> lateReply; // no request is sent before it arrives
         BootTime partitionedUntil{};
         BootTime nextPoll{};
         BootTime nextCheckIn{};
@@ -180,6 +187,8 @@
     {
         DispatchLimits limits;
         limits.leaseMs = 5000;
+        limits.cancelMs = 3000;
+        limits.evacuateMs = 5000;
         m_owner = std::make_unique<CellDispatcher>("svc", limits, ++m_epoch);
         std::vector<Row> jobs;
         std::vector<Row> progress;
@@ -192,6 +201,25 @@
         m_owner->load(jobs, progress, m_now);
         m_owner->setCatalog(m_catalog);
         m_commitAt = {};
+        m_unheard.clear();
+        hearInputs();
+    }
+
+    /// The owner applies the changed row, at once or once its view of the inbox is current.
+    void hear(const RowKey &key)
+    {
+        m_unheard.push_back(key);
+        if (m_owner && m_now >= m_inboxStaleUntil)
+            hearInputs();
+    }
+
+    void hearInputs()
+    {
+        for (const RowKey &key : std::exchange(m_unheard, {})) {
+            if (const auto row = m_rows.find(key); row != m_rows.end())
+                m_owner->applyJobRow(row->second, m_now);
+        }
+        m_owner->setInboxTime(m_now);
     }
 
     void advanceStep()
@@ -239,6 +267,8 @@
                 agent->nextCheckIn = m_now + randomDuration(0, 1100);
             }
         }
+        if (m_now >= m_inboxStaleUntil && chance(m_faults.lateInbox))
+            m_inboxStaleUntil = m_now + randomDuration(1000, 4000);
         if (chance(m_faults.cancel) && !m_specs.empty()) {
             auto job = m_specs.begin();
             std::advance(job, static_cast<std::ptrdiff_t>(m_random() % m_specs.size()));
@@ -255,15 +285,20 @@
             agent.nextCheckIn = m_now + Milliseconds(1100);
             agent.ledger->updateFacts(agent.minion.facts, ++agent.sequence);
         }
-        if (m_owner && agent.partitionedUntil <= m_now &&
+        if (agent.lateReply && agent.lateReply->at <= m_now) {
+            applyReply(agent, agent.lateReply->reply, agent.lateReply->sentAt);
+            agent.lateReply.reset();
+        }
+        if (m_owner && !agent.lateReply && agent.partitionedUntil <= m_now &&
             (agent.nextPoll <= m_now || agent.ledger->hasUnreportedChanges() ||
              m_owner->hasOrders(agent.name))) {
             agent.nextPoll = m_now + Milliseconds(900);
-            const BootTime sentAt = m_now;
             m_owner->handleRequest(agent.ledger->snapshot(900), m_now, true);
-            for (RunOrder &order :
-                 agent.ledger->applyReply(m_owner->reply(agent.name, true), sentAt, m_now))
-                agent.orders.push_back(std::move(order));
+            const ExchangeReply reply = m_owner->reply(agent.name, m_now, true);
+            if (chance(m_faults.lateReply))
+                agent.lateReply = {m_now + randomDuration(1000, 6000), m_now, reply};
+            else
+                applyReply(agent, reply, m_now);
         }
         // executeOrder() puts back orders that cannot be executed yet, for the next step.
         for (const RunOrder &order : std::exchange(agent.orders, {}))
@@ -282,6 +317,12 @@
             agent.ledger->renewalFailed(m_now);
     }
 
+    void applyReply(Agent &agent, const ExchangeReply &reply, BootTime sentAt)
+    {
+        for (RunOrder &order : agent.ledger->applyReply(reply, sentAt, m_now))
+            agent.orders.push_back(std::move(order));
+    }
+
     void executeOrder(Agent &agent, const RunOrder &order)
     {
         const std::int64_t fence = agent.ledger->epoch();
@@ -301,8 +342,8 @@
         const auto lease = agent.ledger->lease(m_now);
         if (!agent.ledger->shouldRun(order.run))
             return;
-        if (!lease) {
-            agent.ledger->startRefused(order.run, "no lease");
+        if (!lease || m_now >= agent.ledger->startBy(order.run)) {
+            agent.ledger->startRefused(order.run, "no lease or too late");
             return;
         }
         agent.ledger->renewalSent(*lease);
@@ -333,12 +374,15 @@
     {
         if (!m_owner)
             return;
+        if (m_now >= m_inboxStaleUntil)
+            hearInputs();
+        m_owner->setEvacuationsTime(m_now);
         m_owner->tick(m_now, m_now.time_since_epoch().count());
         if (m_commitAt != BootTime{} && m_commitAt <= m_now) {
             m_commitAt = {};
             m_owner->commitApplied(m_now);
         }
-        if (const auto commit = m_owner->prepareCommit(m_now)) {
+        if (const auto commit = m_owner->prepareCommit(m_now, m_owner->canStartInTime(m_now))) {
             // A commit whose answer is lost is stored, but the owner learns of it only later.
             apply(commit->writes);
             apply(commit->inboxRemovals);
@@ -438,7 +482,9 @@
     int m_starts = 0;
     std::unique_ptr<CellDispatcher> m_owner;
     BootTime m_takeOverAt{};
-    BootTime m_commitAt{}; // when the owner learns that its commit is stored
+    BootTime m_commitAt{};         // when the owner learns that its commit is stored
+    std::vector<RowKey> m_unheard; // changed inbox rows that the owner has not applied
+    BootTime m_inboxStaleUntil{};  // when the owner's view of the inbox is current again
     std::vector<std::unique_ptr<Agent>> m_agents;
     std::vector<DelayedStart> m_delayedStarts;
     std::map<std::string, JobSpec> m_specs;
--- a/src/libruntime/runtime_test.cpp
+++ b/src/libruntime/runtime_test.cpp
@@ -132,3 +132,30 @@
     CHECK(second.exchange(request)->epoch == 2);
     CHECK(kindOf(first->exchange(request).status()) == ErrorKind::StaleCommand);
 }
+
+// Guards against an inbox that counts as read up to the moment at which a late answer is handled.
+TEST_CASE("a follower's rows are current as of the call, not as of its answer")
+{
+    MemoryRows store;
+    std::atomic<BootTime> changedAt{BootTime::max()};
+    std::vector<BootTime> currentAsOf; // of answers with a change
+    std::atomic<bool> answered{false};
+    RowFollower<MemoryRows> follower(
+        store, "t", [] { return StatusOr<std::int64_t>(0); },
+        [&](const Row &) { changedAt = BootClock::now(); },
+        [&](BootTime asOf) {
+            if (changedAt.load() == BootTime::max() || answered)
+                return;
+            currentAsOf.push_back(asOf);
+            answered = true;
+        });
+    // The follower's call is open for some time before the change answers it.
+    std::this_thread::sleep_for(Milliseconds(50));
+    const BootTime beforeChange = BootClock::now();
+    std::this_thread::sleep_for(Milliseconds(5));
+    RowTransaction change;
+    change.writes.push_back({{"t", "", "k"}, "v", false});
+    REQUIRE(store.commit(change, deadlineIn(2000)).ok());
+    REQUIRE(eventually([&] { return answered.load(); }));
+    CHECK(currentAsOf.front() <= beforeChange);
+}
