--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -19,9 +19,6 @@
 inline constexpr Milliseconds tickInterval{250};
 /// Time for which a process does not claim a cell that it could not load.
 inline constexpr Milliseconds claimPause{5000};
-/// An owner whose view of the inbox is older than this places no tasks. No task may start later
-/// than 3 s after its job's cancellation, and the commit and the start take part of that time.
-inline constexpr Milliseconds inboxMaxAge{2500};
 
 /// Competes for the cell on a thread of its own until destruction. Does not own the store or the
 /// metrics, which must outlive it. Thread-safe: m_mutex is the only lock, and no call to the store
@@ -80,13 +77,23 @@
             m_dispatcher->setClosedDataCentres(m_closedDataCentres);
     }
 
+    /// All evacuations that were stored by `asOf` are in the set given to setClosedDataCentres().
+    void setEvacuationsTime(BootTime asOf)
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_evacuationsTime = asOf;
+        if (m_dispatcher != nullptr)
+            m_dispatcher->setEvacuationsTime(asOf);
+    }
+
     /// Handles an agent's request. Blocks until there are orders for the agent, for at most the
     /// request's waitMs. StaleCommand when this process does not own the cell. While the cell is
     /// loaded the reply only grants a lease, so that what runs continues; the agent repeats the
     /// content of the request in its next one.
     StatusOr<ExchangeReply> exchange(const ExchangeRequest &request)
     {
-        const BootTime until = BootClock::now() + Milliseconds(request.waitMs);
+        const BootTime arrived = BootClock::now();
+        const BootTime until = arrived + Milliseconds(request.waitMs);
         std::unique_lock lock(m_mutex);
         const bool waited = m_state == State::Loading;
         // An agent that does not know the epoch yet learns it at once.
@@ -111,7 +118,7 @@
         }
         if (m_dispatcher == nullptr || m_epoch != epoch)
             return notOwner();
-        return m_dispatcher->reply(request.agent, ownershipValid());
+        return m_dispatcher->reply(request.agent, arrived, ownershipValid());
     }
 
     bool owns() const
@@ -195,12 +202,12 @@
         if (!inboxVersion)
             return;
         std::stop_source served;
-        const auto version = std::make_shared<std::optional<std::int64_t>>(*inboxVersion);
         RowFollower<Store> follower(
             m_store, cells::jobTable,
-            [this, version, reads = served.get_token()] { return reloadJobs(*version, reads); },
-            [this](const Row &row) { applyJobRow(row); });
-        serve(stop, follower);
+            [this, reads = served.get_token()] { return reloadJobs(reads); },
+            [this](const Row &row) { applyJobRow(row); },
+            [this](BootTime asOf) { inboxRead(asOf); }, *inboxVersion);
+        serve(stop);
         served.request_stop();
         // Before the follower is destroyed, which may take as long as one of its calls.
         const std::scoped_lock lock(m_mutex);
@@ -264,18 +271,14 @@
         m_dispatcher->assumeLeases(BootClock::now());
         m_dispatcher->setCatalog(m_catalog);
         m_dispatcher->setClosedDataCentres(m_closedDataCentres);
+        m_dispatcher->setInboxTime(load.inboxTime);
+        m_dispatcher->setEvacuationsTime(m_evacuationsTime);
         setState(State::Serving);
         return load.inboxVersion;
     }
 
-    StatusOr<ReloadedTable> reloadJobs(std::optional<std::int64_t> &first,
-                                       const std::stop_token &stop)
+    StatusOr<ReloadedTable> reloadJobs(const std::stop_token &stop)
     {
-        if (first) {
-            const std::int64_t version = *first;
-            first.reset();
-            return ReloadedTable{version, 0};
-        }
         const auto rows = readPartition(m_store, cells::jobTable, cells::inbox(m_cell),
                                         BootClock::now() + m_loadTimeout, stop);
         if (!rows.ok())
@@ -297,7 +300,14 @@
         m_work.notify_all();
     }
 
-    void serve(const std::stop_token &stop, const RowFollower<Store> &inbox)
+    void inboxRead(BootTime asOf)
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (m_dispatcher != nullptr)
+            m_dispatcher->setInboxTime(asOf);
+    }
+
+    void serve(const std::stop_token &stop)
     {
         BootTime nextTick = BootClock::now();
         while (true) {
@@ -320,9 +330,8 @@
                                        {{"cell", m_cell}});
                     nextTick = BootClock::now() + tickInterval;
                 }
-                // Without the latest cancellations no task may be placed.
-                const bool current = BootClock::now() - inbox.lastAnswer() < inboxMaxAge;
-                commit = prepareCommit(current);
+                const BootTime placedAt = BootClock::now();
+                commit = prepareCommit(placedAt, m_dispatcher->canStartInTime(placedAt));
                 logEvents();
                 wakeAgents(false);
                 if (!commit && BootClock::now() < renewal)
@@ -337,11 +346,11 @@
     }
 
     /// Requires m_mutex. Records how long the dispatcher takes and what its placement does.
-    std::optional<CellCommit> prepareCommit(bool mayPlace)
+    std::optional<CellCommit> prepareCommit(BootTime now, bool mayPlace)
     {
         const PlacementCounts before = m_dispatcher->placementCounts();
         const auto started = std::chrono::steady_clock::now();
-        auto commit = m_dispatcher->prepareCommit(BootClock::now(), mayPlace);
+        auto commit = m_dispatcher->prepareCommit(now, mayPlace);
         const std::chrono::duration<double> seconds = std::chrono::steady_clock::now() - started;
         const PlacementCounts &after = m_dispatcher->placementCounts();
         m_metrics.observeSeconds("lavender_prepare_commit_seconds", seconds.count());
@@ -431,6 +440,7 @@
     std::unique_ptr<CellDispatcher> m_dispatcher;  // null unless Serving; guarded by m_mutex
     std::shared_ptr<const QueueCatalog> m_catalog; // guarded by m_mutex
     std::set<std::string> m_closedDataCentres;     // guarded by m_mutex
+    BootTime m_evacuationsTime{};                  // guarded by m_mutex
     bool m_workPending = false;                    // guarded by m_mutex
     std::atomic<bool> m_claiming{true};
     std::atomic<bool> m_releasing{false};
--- a/src/include/lavenderarch/runtime/cell_load.h
+++ b/src/include/lavenderarch/runtime/cell_load.h
@@ -16,11 +16,12 @@
 /// process is cut off from the store.
 inline constexpr Milliseconds cellLoadTimeout{10'000};
 
-/// A dispatcher as of the stored rows, and the version of the inbox to follow from.
+/// A dispatcher as of the stored rows, and from where to follow the inbox.
 struct CellLoad
 {
     std::unique_ptr<CellDispatcher> dispatcher;
     std::int64_t inboxVersion = 0;
+    BootTime inboxTime{}; ///< all inbox changes stored by then are included
 };
 
 /// Reads the rows of `cell` and rebuilds its dispatcher, which may take seconds. Returns an error
@@ -40,7 +41,7 @@
     const auto model = store.readOne({cells::modelTable, cell, cells::tailsKey},
                                      std::min(deadline, BootClock::now() + pageTimeout));
     const BootTime rowsRead = BootClock::now();
-    CellLoad load{std::make_unique<CellDispatcher>(cell, limits, epoch), jobs->version};
+    CellLoad load{std::make_unique<CellDispatcher>(cell, limits, epoch), jobs->version, began};
     load.dispatcher->load(jobs->rows, progress->rows, rowsRead);
     if (model.ok() && model->version != 0)
         load.dispatcher->loadTailModel(model->value);
--- a/src/libdispatch/loaded_cell.h
+++ b/src/libdispatch/loaded_cell.h
@@ -93,7 +93,7 @@
             request.orderSeen = view->second.nextOrder - 1;
         }
         m_owner.handleRequest(request, m_now, true);
-        m_owner.reply(request.agent, true);
+        m_owner.reply(request.agent, m_now, true);
     }
 
     /// The active run of that number, in the order of minions and modulo their count, among those
