--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -45,6 +45,7 @@
     /// Reply to the agent: all orders that it has not confirmed, and a lease if the minion is
     /// reachable. Without `mayGrant` it holds neither.
     ExchangeReply reply(const std::string &agent, bool mayGrant);
+    /// True when a reply would have something that the agent should get without delay.
     bool hasOrders(const std::string &agent) const;
 
     /// Ends the runs of minions whose lease has lapsed, stops stalled and slowed runs, and creates
@@ -85,6 +86,8 @@
     void processEnd(MinionView &view, const RunEnd &end, BootTime now);
     /// Confirms the end to the agent once the job is stored.
     void stageEnd(const std::string &job, const MinionView &view, const RunEnd &end);
+    void processBrief(MinionView &view, const ExchangeRequest &request, BootTime now);
+    void processReport(MinionView &view, const RunReport &report, BootTime now);
     void processRuns(MinionView &view, const ExchangeRequest &request, BootTime now);
     void updateTailModel(MinionView &view, const ExchangeRequest &request, BootTime now);
     void moveSlowedRuns(MinionView &view, BootTime now);
--- a/src/include/lavenderarch/dispatch/exchange_reply.h
+++ b/src/include/lavenderarch/dispatch/exchange_reply.h
@@ -18,8 +18,11 @@
     /// Duration of the minion's lease, counted from when the request was sent; 0: none.
     std::int64_t grantMs = 0;
     std::int64_t endsSeen = 0; ///< ends up to this number are stored; the minion may discard them
-    std::vector<RunKey> absentSeen;  ///< Absent ends that are stored
-    std::vector<RunOrder> orders;    ///< all orders that the agent has not confirmed, by sequence
+    std::vector<RunKey> absentSeen; ///< Absent ends that are stored
+    std::vector<RunOrder> orders;   ///< all orders that the agent has not confirmed, by sequence
+    /// Number of the agent's snapshot that brief messages may build on; 0: the next message has to
+    /// be a snapshot. Missing from an owner that does not read brief messages.
+    std::int64_t snapshotSeen = 0;
     std::vector<TailWeight> weights; ///< weights of the tail model for the images on the minion
 
     friend bool operator==(const ExchangeReply &, const ExchangeReply &) = default;
--- a/src/include/lavenderarch/dispatch/exchange_request.h
+++ b/src/include/lavenderarch/dispatch/exchange_request.h
@@ -1,5 +1,5 @@
-// An agent's message to the owner of its cell: a snapshot, unconfirmed ends, and a long poll for
-// orders.
+// An agent's message to the owner of its cell: a snapshot or what changed since it, unconfirmed
+// ends, and a long poll for orders.
 #pragma once
 
 #include "lavenderarch/dispatch/minion_facts.h"
@@ -10,26 +10,34 @@
 
 /// Value type. The snapshot (facts, runs, ends, orderSeen) is consistent. `number` increases with
 /// each message of a session, so that an older snapshot that arrives late is discarded.
+///
+/// A brief message builds on a snapshot of the same session. It has no facts, and `runs` holds only
+/// the runs whose phase has changed, so a run that it does not mention has not ended. To an owner
+/// that ignores `brief` it is a message without a minion's list, which changes no run.
 struct ExchangeRequest
 {
     std::string agent;   ///< name of the agent's VM
     std::string session; ///< identifies one lifetime of the agent's process
     std::int64_t number = 0;
     std::int64_t epoch = 0;  ///< highest epoch that the agent has seen
-    bool registered = false; ///< a minion has registered, so `facts` is valid
-    bool listed = false;     ///< `runs` reflects the minion's own list under `epoch`
-    bool reachable = false;  ///< the minion answered the agent's last request
+    bool registered = false; ///< a minion has registered, so `facts` is valid; false when brief
+    /// `runs` reflects the minion's own list under `epoch`; false when brief.
+    bool listed = false;
+    bool reachable = false; ///< the minion answered the agent's last request
     MinionFacts facts;
     std::vector<RunReport> runs;
     std::vector<RunEnd> ends;   ///< all ends that the owner has not confirmed
     std::int64_t orderSeen = 0; ///< highest order that the snapshot reflects
     /// Maximum time for which the owner may delay the reply until it has an order.
     std::int64_t waitMs = 0;
+    bool brief = false;
+    MinionIncarnation incarnation; ///< of a brief message: what its runs and ends refer to
+    std::int64_t snapshot = 0;     ///< of a brief message: number of the snapshot it builds on
 
     friend bool operator==(const ExchangeRequest &, const ExchangeRequest &) = default;
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(ExchangeRequest, agent, session, number, epoch,
                                                 registered, listed, reachable, facts, runs, ends,
-                                                orderSeen, waitMs)
+                                                orderSeen, waitMs, brief, incarnation, snapshot)
 };
 
 } // namespace lavenderarch
--- a/src/include/lavenderarch/dispatch/minion_view.h
+++ b/src/include/lavenderarch/dispatch/minion_view.h
@@ -26,6 +26,8 @@
     BootTime leaseStart{}; ///< start of the newest lease that may be valid
 
     std::int64_t newestMessage = 0;
+    std::int64_t snapshot = 0; ///< newest snapshot of this session and minion; 0: none applied
+    bool snapshotDue = false;  ///< the next reply asks for a snapshot
     std::int64_t nextOrder = 1;
     std::deque<RunOrder> outbox;                ///< orders that the agent has not confirmed
     std::set<RunKey> runs;                      ///< runs of Placed and Stopping tasks on the minion
--- a/src/include/lavenderarch/dispatch/run_ledger.h
+++ b/src/include/lavenderarch/dispatch/run_ledger.h
@@ -29,6 +29,7 @@
         std::optional<BootTime> stopConfirmed; ///< time of the first answer to a stop
         bool stopRequested = false;
         bool listed = false;     ///< the minion has listed the run
+        bool reported = false;   ///< a message has carried the current phase
         bool described = true;   ///< the fields of describe() are known
         bool bestEffort = false; ///< best-effort
         std::int64_t tailTargetMs = 0;
@@ -84,10 +85,15 @@
     /// True while the run is known and no stop of it has been ordered.
     bool shouldRun(const RunKey &run) const;
 
-    /// The next message to the owner, with the current state and all unconfirmed ends.
+    /// The next message to the owner, with all unconfirmed ends: brief if the owner has the current
+    /// snapshot and that is not old, otherwise a snapshot.
+    ExchangeRequest nextMessage(std::int64_t waitMs, BootTime now);
+    /// A message with the current state and all unconfirmed ends.
     ExchangeRequest snapshot(std::int64_t waitMs);
-    /// True when something changed since the last snapshot() that the owner must learn soon, such
-    /// as an end.
+    /// A message got no reply or an error, so that the owner may not have it.
+    void exchangeFailed();
+    /// True when something changed since the last message that the owner must learn soon, such as
+    /// an end.
     bool hasUnreportedChanges() const { return m_unreportedChanges; }
 
     const MinionFacts &facts() const { return m_facts; }
@@ -105,6 +111,8 @@
     void resetIncarnation();
     void updateHeadroom(BootTime now);
     void addAbsent(const RunKey &run, const std::string &reason);
+    ExchangeRequest beginMessage(std::int64_t waitMs);
+    static void appendReport(ExchangeRequest &request, const RunKey &run, LocalRun &local);
 
     std::string m_agent;
     std::string m_session;
@@ -115,6 +123,10 @@
     bool m_registered = false;
     bool m_reachable = false;
     bool m_unreportedChanges = false;
+    bool m_ownerHasSnapshot = false;   // the last reply allows brief messages
+    bool m_snapshotDue = true;         // brief messages cannot report what has changed
+    std::int64_t m_snapshotNumber = 0; // of the newest snapshot
+    BootTime m_nextSnapshot{};
     MinionFacts m_facts;
     std::int64_t m_factsSequence = 0;
     std::map<RunKey, LocalRun> m_runs;
--- a/src/include/lavenderarch/runtime/agent_loop.h
+++ b/src/include/lavenderarch/runtime/agent_loop.h
@@ -141,8 +141,8 @@
         {
             const std::scoped_lock lock(m_mutex);
             owner = m_owner;
-            request = m_ledger.snapshot(waitMs);
             sentAt = BootClock::now();
+            request = m_ledger.nextMessage(waitMs, sentAt);
         }
         if (!owner)
             return false;
@@ -158,8 +158,10 @@
                 logFailure("agent", "exchange with the cell's owner failed", reply.status(),
                            {{"owner", owner->text()}});
         }
-        if (!reply.ok() || reply->epoch < m_ledger.epoch())
+        if (!reply.ok() || reply->epoch < m_ledger.epoch()) {
+            m_ledger.exchangeFailed();
             return false;
+        }
         for (RunOrder &order : m_ledger.applyReply(*reply, sentAt, BootClock::now()))
             m_orders.push_back(std::move(order));
         m_ordersAdded.notify_all();
--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -44,6 +44,11 @@
         view.outbox.pop_front();
     m_placementDue = m_placementDue || view.reachable != request.reachable;
     view.reachable = request.reachable;
+    if (request.brief) {
+        processBrief(view, request, now);
+        return;
+    }
+    view.snapshot = 0;
     if (!request.registered) {
         view.registered = false;
         return;
@@ -51,8 +56,25 @@
     if (!updateFacts(view, request, now))
         return;
     processEnds(view, request, now);
-    if (request.listed && sameEpoch)
+    if (request.listed && sameEpoch) {
+        view.snapshot = request.number;
         processRuns(view, request, now);
+    }
+}
+
+void CellDispatcher::processBrief(MinionView &view, const ExchangeRequest &request, BootTime now)
+{
+    // The snapshot may have been lost, overtaken by this message or sent to a previous owner.
+    if (request.epoch != m_epoch || view.snapshot == 0 || view.snapshot != request.snapshot ||
+        view.facts.incarnation != request.incarnation) {
+        view.snapshotDue = true;
+        return;
+    }
+    processEnds(view, request, now);
+    for (const RunReport &report : request.runs) {
+        if (view.runs.count(report.run) != 0)
+            processReport(view, report, now);
+    }
 }
 
 ExchangeReply CellDispatcher::reply(const std::string &agent, bool mayGrant)
@@ -67,6 +89,7 @@
     reply.endsSeen = view.endsSeen;
     reply.absentSeen = std::exchange(view.absentSeen, {});
     reply.orders.assign(view.outbox.begin(), view.outbox.end());
+    reply.snapshotSeen = std::exchange(view.snapshotDue, false) ? 0 : view.snapshot;
     if (std::exchange(view.weightsDue, false))
         reply.weights = tailWeights(view, m_tailModel);
     return reply;
@@ -76,7 +99,8 @@
 {
     const auto view = m_minions.find(agent);
     return view != m_minions.end() &&
-           (!view->second.outbox.empty() || !view->second.absentSeen.empty());
+           (!view->second.outbox.empty() || !view->second.absentSeen.empty() ||
+            view->second.snapshotDue);
 }
 
 void CellDispatcher::beginSession(MinionView &view, const ExchangeRequest &request)
@@ -85,6 +109,8 @@
                 {{"agent", request.agent}, {"session", request.session}});
     view.session = request.session;
     view.newestMessage = 0;
+    view.snapshot = 0;
+    view.snapshotDue = false;
     view.nextOrder = 1;
     view.outbox.clear();
     view.absentSeen.clear();
@@ -229,25 +255,7 @@
             }
             continue;
         }
-        // Stop orders of a previous session were discarded, so the stop is ordered again.
-        if (task->phase == TaskPhase::Stopping && task->stopOrder == 0)
-            sendStop(view, report.run, task->stopOrder);
-        if (report.progressPercent != task->progressPercent || report.pacePercent < 100) {
-            task->progressPercent = report.progressPercent;
-            task->progressAt = now;
-        }
-        task->pacePercent = report.pacePercent;
-        if (report.pacePercent >= slowPacePercent)
-            task->slowedAt = {};
-        else if (task->slowedAt == BootTime{})
-            task->slowedAt = now;
-        if (!report.checkpoint.empty())
-            task->checkpoint = report.checkpoint;
-        if (report.undescribed) {
-            const auto &step = stepOf(*job, report.run);
-            std::int64_t sequence = 0;
-            send(view, makeOrder(OrderKind::Describe, report.run, step), sequence);
-        }
+        processReport(view, report, now);
     }
     updateTailModel(view, request, now);
     stopMissingRuns(view, request);
@@ -257,6 +265,31 @@
     });
 }
 
+/// Processes the report of a run in `view.runs`.
+void CellDispatcher::processReport(MinionView &view, const RunReport &report, BootTime now)
+{
+    const auto [job, task] = locate(report.run.task);
+    // Stop orders of a previous session were discarded, so the stop is ordered again.
+    if (task->phase == TaskPhase::Stopping && task->stopOrder == 0)
+        sendStop(view, report.run, task->stopOrder);
+    if (report.progressPercent != task->progressPercent || report.pacePercent < 100) {
+        task->progressPercent = report.progressPercent;
+        task->progressAt = now;
+    }
+    task->pacePercent = report.pacePercent;
+    if (report.pacePercent >= slowPacePercent)
+        task->slowedAt = {};
+    else if (task->slowedAt == BootTime{})
+        task->slowedAt = now;
+    if (!report.checkpoint.empty())
+        task->checkpoint = report.checkpoint;
+    if (report.undescribed) {
+        const auto &step = stepOf(*job, report.run);
+        std::int64_t sequence = 0;
+        send(view, makeOrder(OrderKind::Describe, report.run, step), sequence);
+    }
+}
+
 void CellDispatcher::stopMissingRuns(MinionView &view, const ExchangeRequest &request)
 {
     std::set<RunKey> reported;
--- a/src/libdispatch/dispatch_json.cpp
+++ b/src/libdispatch/dispatch_json.cpp
@@ -122,6 +122,7 @@
     out["endsSeen"] = reply.endsSeen;
     out["absentSeen"] = reply.absentSeen;
     out["orders"] = reply.orders;
+    out["snapshotSeen"] = reply.snapshotSeen;
     out["weights"] = reply.weights;
 }
 
@@ -134,6 +135,7 @@
     reply.endsSeen = in.value("endsSeen", defaults.endsSeen);
     reply.absentSeen = in.value("absentSeen", defaults.absentSeen);
     reply.orders = in.value("orders", defaults.orders);
+    reply.snapshotSeen = in.value("snapshotSeen", defaults.snapshotSeen);
     reply.weights = in.value("weights", defaults.weights);
 }
 
--- a/src/libdispatch/dispatch_test.cpp
+++ b/src/libdispatch/dispatch_test.cpp
@@ -119,6 +119,10 @@
 {
     runWithFaults({.lostCommit = 5});
 }
+TEST_CASE("jobs complete while messages of agents are lost or overtaken")
+{
+    runWithFaults({.lostMessage = 4, .lateMessage = 4});
+}
 TEST_CASE("cancelled jobs end")
 {
     runWithFaults({.cancel = 60}, true);
@@ -175,6 +179,16 @@
                    .lostCommit = 8,
                    .cancel = 200},
                   true);
+    runWithFaults({.ownerCrash = 500,
+                   .agentRestart = 600,
+                   .minionCrash = 700,
+                   .agentPartition = 900,
+                   .delayedOrder = 15,
+                   .lostCommit = 8,
+                   .lostMessage = 10,
+                   .lateMessage = 10,
+                   .cancel = 200},
+                  true);
 }
 
 TEST_CASE("a task that always fails fails its job after the allowed attempts")
--- /dev/null
+++ b/src/libdispatch/exchange_test.cpp
@@ -0,0 +1,127 @@
+// Tests of brief messages between an agent and the owner of its cell.
+#include "lavenderarch/dispatch/cell_dispatcher.h"
+#include "lavenderarch/dispatch/run_ledger.h"
+
+#include <doctest/doctest.h>
+
+using namespace lavenderarch;
+
+namespace {
+
+const BootTime start(Milliseconds(50'000));
+const MinionFacts minion{{"m", 1}, "svc", "dc", {"a", "r1"}, Resources(64'000, 64'000, 0),
+                         false,    0};
+
+RunKey run(int index)
+{
+    return {"0123456789abcdef.0.0." + std::to_string(index), 1};
+}
+
+/// An agent whose minion runs `runs` tasks, and an owner that has its snapshot.
+struct Exchange
+{
+    CellDispatcher owner{"svc", DispatchLimits{}, 1};
+    RunLedger ledger{"agent", "s"};
+    MinionListing listing;
+
+    explicit Exchange(int runs)
+    {
+        ledger.updateFacts(minion, 1);
+        listing.bornMs = 1;
+        for (int index = 0; index < runs; ++index)
+            listing.active.push_back({run(index), "", 10, 500});
+        deliver(ledger.nextMessage(0, start));
+        list();
+        deliver(ledger.nextMessage(0, start));
+        list(); // runs that the owner does not expect are being stopped
+        deliver(ledger.nextMessage(0, start));
+    }
+    void list() { ledger.applyListing(listing, ledger.epoch(), start, start); }
+    void deliver(const ExchangeRequest &request)
+    {
+        owner.handleRequest(request, start, true);
+        ledger.applyReply(owner.reply("agent", true), start, start);
+    }
+    /// The message that reports the end of one more run.
+    ExchangeRequest endMessage()
+    {
+        listing.ends = {{1, run(999), RunOutcome::Done, "", ""}};
+        list();
+        return ledger.nextMessage(0, start);
+    }
+};
+
+} // namespace
+
+// Every message described all runs of the minion, which took the owner's processor time and link.
+TEST_CASE("a message that reports an end does not grow with the other runs of the minion")
+{
+    const std::string alone = Json(Exchange(0).endMessage()).dump();
+    const std::string beside = Json(Exchange(40).endMessage()).dump();
+    CHECK(beside.size() <= alone.size() + 2); // the sequence of the last order has more digits
+}
+
+// The end of a run waited for the next snapshot if the owner ignored brief messages.
+TEST_CASE("an end in a brief message is confirmed")
+{
+    Exchange exchange(3);
+    const ExchangeRequest message = exchange.endMessage();
+    REQUIRE(message.brief);
+    exchange.owner.handleRequest(message, start, true);
+    CHECK(exchange.owner.reply("agent", true).endsSeen == 1);
+}
+
+TEST_CASE("an owner without the snapshot asks for it without delay")
+{
+    Exchange exchange(3);
+    const ExchangeRequest message = exchange.endMessage();
+    REQUIRE(message.brief);
+    CellDispatcher other("svc", DispatchLimits{}, 1);
+    other.handleRequest(message, start, true);
+    CHECK(other.hasOrders("agent"));
+    const ExchangeReply reply = other.reply("agent", true);
+    CHECK(reply.snapshotSeen == 0);
+    CHECK(reply.endsSeen == 0);
+    exchange.ledger.applyReply(reply, start, start);
+    const ExchangeRequest next = exchange.ledger.nextMessage(0, start);
+    CHECK_FALSE(next.brief);
+    CHECK(next.runs.size() == 3);
+    CHECK(next.ends.size() == 1);
+}
+
+TEST_CASE("an agent sends snapshots to an owner that does not read brief messages")
+{
+    Exchange exchange(3);
+    ExchangeReply reply = exchange.owner.reply("agent", true);
+    reply.snapshotSeen = 0; // as read from a reply without the key
+    exchange.ledger.applyReply(reply, start, start);
+    CHECK_FALSE(exchange.endMessage().brief);
+}
+
+TEST_CASE("changed facts, a failed message and age each require a snapshot")
+{
+    Exchange facts(3);
+    MinionFacts draining = minion;
+    draining.draining = true;
+    facts.ledger.updateFacts(draining, 2);
+    CHECK_FALSE(facts.ledger.nextMessage(0, start).brief);
+
+    Exchange failed(3);
+    CHECK(failed.ledger.nextMessage(0, start).brief);
+    failed.ledger.exchangeFailed();
+    CHECK_FALSE(failed.ledger.nextMessage(0, start).brief);
+
+    Exchange old(3);
+    CHECK_FALSE(old.ledger.nextMessage(0, start + Milliseconds(1000)).brief);
+}
+
+TEST_CASE("to an owner that ignores the key, a brief message lists no runs and has no facts")
+{
+    Exchange exchange(3);
+    Json text = Json(exchange.endMessage());
+    text.erase("brief");
+    const auto read = text.get<ExchangeRequest>();
+    CHECK_FALSE(read.listed);
+    CHECK_FALSE(read.registered);
+    CHECK(read.reachable);
+}
--- a/src/libdispatch/run_ledger.cpp
+++ b/src/libdispatch/run_ledger.cpp
@@ -1,6 +1,7 @@
 // Tracks the runs, ends and lease of one minion on the agent's side.
 #include "lavenderarch/dispatch/run_ledger.h"
 
+#include <algorithm>
 #include <set>
 
 namespace lavenderarch {
@@ -13,6 +14,10 @@
 constexpr Milliseconds expiryMargin{200};
 /// The latencies in listings are rough, so this share of the target already counts as over it.
 constexpr double nearTargetShare = 0.9;
+/// Time between two snapshots while nothing changes that needs one. A poll waits as long.
+constexpr Milliseconds snapshotInterval{900};
+/// The same beside a serving task: the owner's tail model takes figures this often.
+constexpr Milliseconds servingSnapshotInterval{450};
 
 } // namespace
 
@@ -56,6 +61,7 @@
     }
     m_unreportedChanges =
         m_unreportedChanges || !m_registered || facts.draining != m_facts.draining;
+    m_snapshotDue = m_snapshotDue || !m_registered || facts != m_facts;
     m_facts = facts;
     m_factsSequence = sequence;
     m_registered = true;
@@ -71,6 +77,7 @@
     m_runs.clear();
     m_facts.draining = true;
     m_unreportedChanges = true;
+    m_snapshotDue = true;
 }
 
 void RunLedger::addAbsent(const RunKey &run, const std::string &reason)
@@ -93,6 +100,7 @@
     if (reply.grantMs > 0)
         m_grantUntil = std::max(m_grantUntil, sentAt + Milliseconds(reply.grantMs));
     const bool sameIncarnation = reply.incarnation == m_facts.incarnation;
+    m_ownerHasSnapshot = sameIncarnation && reply.snapshotSeen > 0;
     if (sameIncarnation && reply.endsSeen > m_endsSeen && m_ends.count(reply.endsSeen) != 0)
         m_endsSeen = reply.endsSeen;
     m_ends.erase(m_ends.begin(), m_ends.upper_bound(m_endsSeen));
@@ -147,6 +155,7 @@
         const auto [entry, added] = m_runs.try_emplace(active.run);
         LocalRun &run = entry->second;
         run.described = run.described && !added;
+        run.reported = run.reported && run.phase == Phase::Confirmed;
         run.phase = Phase::Confirmed;
         run.listed = true;
         run.progressPercent = active.progressPercent;
@@ -176,6 +185,7 @@
         }
         if (stopped)
             addAbsent(entry->first, "a stop was confirmed before it ran");
+        m_snapshotDue = true;
         m_unreportedChanges = true;
         entry = m_runs.erase(entry);
     }
@@ -219,6 +229,7 @@
     if (found == m_runs.end() || found->second.phase == Phase::Confirmed)
         return;
     found->second.phase = Phase::Confirmed;
+    found->second.reported = false;
     found->second.since = now;
 }
 
@@ -259,22 +270,14 @@
     return found != m_runs.end() && !found->second.stopRequested;
 }
 
-ExchangeRequest RunLedger::snapshot(std::int64_t waitMs)
+ExchangeRequest RunLedger::beginMessage(std::int64_t waitMs)
 {
     ExchangeRequest request;
     request.agent = m_agent;
     request.session = m_session;
     request.number = m_nextMessage++;
     request.epoch = m_epoch;
-    request.registered = m_registered;
-    request.listed = m_listedEpoch == m_epoch;
     request.reachable = m_reachable;
-    request.facts = m_facts;
-    for (const auto &[run, local] : m_runs) {
-        const int load = static_cast<int>(local.load);
-        request.runs.push_back({run, local.progressPercent, local.pacePercent, local.checkpoint,
-                                local.phase == Phase::Starting, load, !local.described});
-    }
     for (const auto &[number, end] : m_ends)
         request.ends.push_back(end);
     for (const auto &[run, end] : m_absent)
@@ -285,4 +288,50 @@
     return request;
 }
 
+void RunLedger::appendReport(ExchangeRequest &request, const RunKey &run, LocalRun &local)
+{
+    const int load = static_cast<int>(local.load);
+    request.runs.push_back({run, local.progressPercent, local.pacePercent, local.checkpoint,
+                            local.phase == Phase::Starting, load, !local.described});
+    local.reported = true;
+}
+
+ExchangeRequest RunLedger::nextMessage(std::int64_t waitMs, BootTime now)
+{
+    if (!m_ownerHasSnapshot || m_snapshotDue || m_listedEpoch != m_epoch || now >= m_nextSnapshot) {
+        const bool serving = std::any_of(m_runs.begin(), m_runs.end(), [](const auto &entry) {
+            return entry.second.tailTargetMs > 0;
+        });
+        m_nextSnapshot = now + (serving ? servingSnapshotInterval : snapshotInterval);
+        return snapshot(waitMs);
+    }
+    ExchangeRequest request = beginMessage(waitMs);
+    request.brief = true;
+    request.incarnation = m_facts.incarnation;
+    request.snapshot = m_snapshotNumber;
+    for (auto &[run, local] : m_runs) {
+        if (!local.reported)
+            appendReport(request, run, local);
+    }
+    return request;
+}
+
+ExchangeRequest RunLedger::snapshot(std::int64_t waitMs)
+{
+    ExchangeRequest request = beginMessage(waitMs);
+    request.registered = m_registered;
+    request.listed = m_listedEpoch == m_epoch;
+    request.facts = m_facts;
+    for (auto &[run, local] : m_runs)
+        appendReport(request, run, local);
+    m_snapshotNumber = request.number;
+    m_snapshotDue = false;
+    return request;
+}
+
+void RunLedger::exchangeFailed()
+{
+    m_ownerHasSnapshot = false;
+}
+
 } // namespace lavenderarch
--- a/src/libdispatch/simulated_cell.h
+++ b/src/libdispatch/simulated_cell.h
@@ -24,6 +24,8 @@
     int agentPartition = 0; ///< the agent cannot reach the owner for 3 to 12 s
     int delayedOrder = 0;   ///< per start order: it is executed up to 9 s late
     int lostCommit = 0;     ///< per commit: its answer is lost
+    int lostMessage = 0;    ///< per message of an agent: it is lost, or its reply
+    int lateMessage = 0;    ///< per message of an agent: the next one overtakes it
     int cancel = 0;
 };
 
@@ -259,11 +261,7 @@
             (agent.nextPoll <= m_now || agent.ledger->hasUnreportedChanges() ||
              m_owner->hasOrders(agent.name))) {
             agent.nextPoll = m_now + Milliseconds(900);
-            const BootTime sentAt = m_now;
-            m_owner->handleRequest(agent.ledger->snapshot(900), m_now, true);
-            for (RunOrder &order :
-                 agent.ledger->applyReply(m_owner->reply(agent.name, true), sentAt, m_now))
-                agent.orders.push_back(std::move(order));
+            exchange(agent);
         }
         // executeOrder() puts back orders that cannot be executed yet, for the next step.
         for (const RunOrder &order : std::exchange(agent.orders, {}))
@@ -282,6 +280,26 @@
             agent.ledger->renewalFailed(m_now);
     }
 
+    void exchange(Agent &agent)
+    {
+        const auto sendMessage = [&](const ExchangeRequest &request) {
+            const bool lost = chance(m_faults.lostMessage);
+            if (!lost || chance(2))
+                m_owner->handleRequest(request, m_now, true);
+            if (lost) {
+                agent.ledger->exchangeFailed();
+                return;
+            }
+            for (RunOrder &order :
+                 agent.ledger->applyReply(m_owner->reply(agent.name, true), m_now, m_now))
+                agent.orders.push_back(std::move(order));
+        };
+        const ExchangeRequest request = agent.ledger->nextMessage(900, m_now);
+        if (chance(m_faults.lateMessage))
+            sendMessage(agent.ledger->nextMessage(0, m_now));
+        sendMessage(request);
+    }
+
     void executeOrder(Agent &agent, const RunOrder &order)
     {
         const std::int64_t fence = agent.ledger->epoch();
