--- a/src/libdispatch/dispatch_test.cpp
+++ b/src/libdispatch/dispatch_test.cpp
@@ -320,6 +320,22 @@
     CHECK(cell.phase("t") == JobPhase::Done);
 }
 
+TEST_CASE("stored progress keeps its form, which other versions read")
+{
+    JobModel job(twoSteps("j", 3));
+    job.find({"j", 0, 0, 0})->phase = TaskPhase::Done;
+    TaskState &task = *job.find({"j", 0, 0, 1});
+    task.phase = TaskPhase::Stopping;
+    task.run = 4;
+    task.failures = 1;
+    task.checkpoint = "c\"\n\xc3\xa9";
+    task.agent = "agent-1";
+    task.incarnation = {"m1", 77};
+    job.find({"j", 0, 1, 2})->run = 2;
+    CHECK(Json::parse(job.progressText()) == Json::parse(R"({"phase":"queued","tasks":{"0":[
+              [1,[1,4,1,"c\"\n\u00e9","agent-1","m1",77],0],[0,0,[0,2,0,""]]]}})"));
+}
+
 TEST_CASE("job progress survives a round trip through its stored form")
 {
     JobModel job(twoSteps("j", 3));
--- a/src/libdispatch/job_model.cpp
+++ b/src/libdispatch/job_model.cpp
@@ -1,6 +1,8 @@
 // State of one job and its serialized form.
 #include "lavenderarch/dispatch/job_model.h"
 
+#include "lavenderarch/core/json_text.h"
+
 #include <algorithm>
 
 namespace lavenderarch {
@@ -8,19 +10,37 @@
 
 /// A done task is stored as 1, a task that has never run as 0, and any other as an array. Placed
 /// and Stopping are stored alike, and a task in Stopping is loaded as Placed.
-Json taskToJson(const TaskState &task)
+void appendTask(std::string &out, const TaskState &task)
 {
-    if (task.phase == TaskPhase::Done)
-        return 1;
-    if (task.run == 0)
-        return 0;
-    Json fields = Json::array({task.active() ? 1 : 0, task.run, task.failures, task.checkpoint});
+    if (task.phase == TaskPhase::Done || task.run == 0) {
+        out += task.phase == TaskPhase::Done ? "1" : "0";
+        return;
+    }
+    out += task.active() ? "[1," : "[0,";
+    out.append(std::to_string(task.run)).append(",").append(std::to_string(task.failures));
+    out += ",";
+    appendQuoted(out, task.checkpoint);
     if (task.active()) {
-        fields.push_back(task.agent);
-        fields.push_back(task.incarnation.id);
-        fields.push_back(task.incarnation.bornMs);
+        out += ",";
+        appendQuoted(out, task.agent);
+        out += ",";
+        appendQuoted(out, task.incarnation.id);
+        out.append(",").append(std::to_string(task.incarnation.bornMs));
+    }
+    out += "]";
+}
+
+/// Appends `items` as a JSON array; `append` writes one item.
+template <typename Items, typename Append>
+void appendArray(std::string &out, const Items &items, Append append)
+{
+    out += "[";
+    for (const auto &item : items) {
+        if (out.back() != '[')
+            out += ",";
+        append(item);
     }
-    return fields;
+    out += "]";
 }
 
 TaskState taskFromJson(const Json &stored)
@@ -143,21 +163,19 @@
 
 std::string JobModel::progressText() const
 {
-    Json stored{{"phase", m_phase}};
+    std::string text = "{\"phase\":" + Json(m_phase).dump();
     if (!settled()) {
-        Json &occurrences = stored["tasks"] = Json::object();
+        text += ",\"tasks\":{";
         for (const auto &[number, occurrence] : m_occurrences) {
-            Json steps = Json::array();
-            for (const auto &tasks : occurrence) {
-                Json list = Json::array();
-                for (const TaskState &task : tasks)
-                    list.push_back(taskToJson(task));
-                steps.push_back(std::move(list));
-            }
-            occurrences[std::to_string(number)] = std::move(steps);
+            text += text.back() == '{' ? "\"" : ",\"";
+            text.append(std::to_string(number)).append("\":");
+            appendArray(text, occurrence, [&](const std::vector<TaskState> &tasks) {
+                appendArray(text, tasks, [&](const TaskState &task) { appendTask(text, task); });
+            });
         }
+        text += "}";
     }
-    return stored.dump();
+    return text + "}";
 }
 
 Status JobModel::loadProgress(const std::string &text)
--- a/src/libtelemetry/log.cpp
+++ b/src/libtelemetry/log.cpp
@@ -2,11 +2,10 @@
 #include "lavenderarch/telemetry/log.h"
 
 #include "lavenderarch/core/error_descriptor.h"
-#include "lavenderarch/core/json.h"
+#include "lavenderarch/core/json_text.h"
 #include "line_appender.h"
 #include "line_layout.h"
 
-#include <algorithm>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <unistd.h>
@@ -35,18 +34,6 @@
     return log4cxx::Level::getError();
 }
 
-/// Appends `text` as a JSON string.
-void appendQuoted(std::string &out, std::string_view text)
-{
-    const bool plain = std::all_of(text.begin(), text.end(), [](char letter) {
-        return letter >= ' ' && letter <= '~' && letter != '"' && letter != '\\';
-    });
-    if (plain)
-        out.append("\"").append(text).append("\"");
-    else
-        out += Json(text).dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
 /// One line's message and fields, as the rest of the JSON object that LineLayout begins.
 class LineText
 {
