Owner: a message without news does not wake the cell's thread

Each message of an agent woke the cell's thread, which took the lock, looked at all minions' waiting calls and slept again; with 53 agents that is a wake-up for every poll, busy or not. CellHost::exchange wakes it now only when the dispatcher has something to place, to store or to log.

The test cannot run on the old code, which had no hasWork(): there every message set m_workPending.

--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -58,6 +58,9 @@
     /// Called when the last prepared commit is stored. Releases its orders and confirmations.
     void commitApplied(BootTime now);
 
+    /// True when prepareCommit() or takeEvents() may have a result.
+    bool hasWork() const { return m_placementDue || !m_dirty.empty() || !m_events.empty(); }
+
     std::int64_t epoch() const { return m_epoch; }
     const std::map<std::string, JobModel> &jobs() const { return m_jobs; }
     const std::map<std::string, MinionView> &minions() const { return m_minions; }
--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -96,8 +96,10 @@
             return notOwner();
         const std::int64_t epoch = m_dispatcher->epoch();
         m_dispatcher->handleRequest(request, arrived, ownershipValid());
-        m_workPending = true;
-        m_work.notify_all();
+        if (m_dispatcher->hasWork()) {
+            m_workPending = true;
+            m_work.notify_all();
+        }
         const BootTime until = arrived + Milliseconds(request.waitMs);
         while (m_dispatcher != nullptr && m_dispatcher->epoch() == epoch &&
                !m_dispatcher->hasOrders(request.agent)) {
--- a/src/libdispatch/exchange_test.cpp
+++ b/src/libdispatch/exchange_test.cpp
@@ -71,6 +71,18 @@
     CHECK(exchange.owner.reply("agent", true).endsSeen == 1);
 }
 
+// Each message woke the cell's thread, also the polls of idle agents.
+TEST_CASE("a message without news leaves the owner nothing to do")
+{
+    Exchange exchange(3);
+    (void)exchange.owner.prepareCommit(start);
+    (void)exchange.owner.takeEvents();
+    exchange.deliver(exchange.ledger.nextMessage(900, start));
+    CHECK_FALSE(exchange.owner.hasWork());
+    exchange.deliver(exchange.ledger.nextMessage(900, start + Milliseconds(1000)));
+    CHECK_FALSE(exchange.owner.hasWork());
+}
+
 TEST_CASE("an owner without the snapshot asks for it without delay")
 {
     Exchange exchange(3);
