--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -33,8 +33,8 @@
     /// Rebuilds the state from the rows of a cell that was taken over at `now`. Previous owners may
     /// have granted leases until then.
     void load(const std::vector<Row> &jobs, const std::vector<Row> &progress, BootTime now);
-    /// Assumes that each minion with runs holds a lease that started at `now`, since leases may have
-    /// been granted between load() and then.
+    /// Assumes that each minion with runs holds a lease that started at `now`, since leases may
+    /// have been granted between load() and then.
     void assumeLeases(BootTime now);
     /// Applies a new or changed row of the job table.
     void applyJobRow(const Row &row, BootTime now);
@@ -61,6 +61,7 @@
     /// Reply to the agent's request that arrived at `arrived`: all orders that it has not
     /// confirmed, and a lease if the minion is reachable. Without `mayGrant` it holds neither.
     ExchangeReply reply(const std::string &agent, BootTime arrived, bool mayGrant);
+    /// True when a reply would have something that the agent should get without delay.
     bool hasOrders(const std::string &agent) const;
 
     /// Ends the runs of minions whose lease has lapsed, stops stalled and slowed runs, and creates
@@ -73,6 +74,9 @@
     /// Called when the last prepared commit is stored. Releases its orders and confirmations.
     void commitApplied(BootTime now);
 
+    /// True when prepareCommit() or takeEvents() may have a result.
+    bool hasWork() const { return m_placementDue || !m_dirty.empty() || !m_events.empty(); }
+
     std::int64_t epoch() const { return m_epoch; }
     const std::map<std::string, JobModel> &jobs() const { return m_jobs; }
     const std::map<std::string, MinionView> &minions() const { return m_minions; }
@@ -102,6 +106,8 @@
     void processEnd(MinionView &view, const RunEnd &end, BootTime now);
     /// Confirms the end to the agent once the job is stored.
     void stageEnd(const std::string &job, const MinionView &view, const RunEnd &end);
+    void processBrief(MinionView &view, const ExchangeRequest &request, BootTime now);
+    void processReport(MinionView &view, const RunReport &report, BootTime now);
     void processRuns(MinionView &view, const ExchangeRequest &request, BootTime now);
     void updateTailModel(MinionView &view, const ExchangeRequest &request, BootTime now);
     void moveSlowedRuns(MinionView &view, BootTime now);
--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -107,8 +107,10 @@
             return loadingReply(request);
         const std::int64_t epoch = m_epoch;
         m_dispatcher->handleRequest(request, BootClock::now(), ownershipValid());
-        m_workPending = true;
-        m_work.notify_all();
+        if (m_dispatcher->hasWork()) {
+            m_workPending = true;
+            m_work.notify_all();
+        }
         while (m_dispatcher != nullptr && m_epoch == epoch && !waited &&
                !m_dispatcher->hasOrders(request.agent)) {
             const BootTime now = BootClock::now();
--- a/src/libdispatch/dispatch_json.cpp
+++ b/src/libdispatch/dispatch_json.cpp
@@ -1,6 +1,7 @@
 // JSON serialization of the types whose keys differ from their member names. A missing key takes
 // the default of its member.
 #include "lavenderarch/dispatch/exchange_reply.h"
+#include "lavenderarch/dispatch/exchange_request.h"
 #include "lavenderarch/dispatch/minion_facts.h"
 #include "lavenderarch/dispatch/step_spec.h"
 
@@ -116,6 +117,17 @@
     facts.remainingMs = in.value("remainingMs", defaults.remainingMs);
 }
 
+std::string requestText(const ExchangeRequest &request)
+{
+    static const Json defaults = ExchangeRequest();
+    Json text = request;
+    for (const auto &[key, value] : defaults.items()) {
+        if (text.at(key) == value)
+            text.erase(key);
+    }
+    return text.dump();
+}
+
 void to_json(Json &out, const ExchangeReply &reply)
 {
     out["epoch"] = reply.epoch;
@@ -124,6 +136,7 @@
     out["endsSeen"] = reply.endsSeen;
     out["absentSeen"] = reply.absentSeen;
     out["orders"] = reply.orders;
+    out["snapshotSeen"] = reply.snapshotSeen;
     out["weights"] = reply.weights;
 }
 
@@ -136,6 +149,7 @@
     reply.endsSeen = in.value("endsSeen", defaults.endsSeen);
     reply.absentSeen = in.value("absentSeen", defaults.absentSeen);
     reply.orders = in.value("orders", defaults.orders);
+    reply.snapshotSeen = in.value("snapshotSeen", defaults.snapshotSeen);
     reply.weights = in.value("weights", defaults.weights);
 }
 
--- a/src/libdispatch/dispatch_test.cpp
+++ b/src/libdispatch/dispatch_test.cpp
@@ -119,6 +119,10 @@
 {
     runWithFaults({.lostCommit = 5});
 }
+TEST_CASE("jobs complete while messages of agents are lost or overtaken")
+{
+    runWithFaults({.lostMessage = 4, .lateMessage = 4});
+}
 TEST_CASE("cancelled jobs end")
 {
     runWithFaults({.cancel = 60}, true);
@@ -175,6 +179,16 @@
                    .lostCommit = 8,
                    .cancel = 200},
                   true);
+    runWithFaults({.ownerCrash = 500,
+                   .agentRestart = 600,
+                   .minionCrash = 700,
+                   .agentPartition = 900,
+                   .delayedOrder = 15,
+                   .lostCommit = 8,
+                   .lostMessage = 10,
+                   .lateMessage = 10,
+                   .cancel = 200},
+                  true);
 }
 
 TEST_CASE("a task that always fails fails its job after the allowed attempts")
@@ -306,6 +320,22 @@
     CHECK(cell.phase("t") == JobPhase::Done);
 }
 
+TEST_CASE("stored progress keeps its form, which other versions read")
+{
+    JobModel job(twoSteps("j", 3));
+    job.find({"j", 0, 0, 0})->phase = TaskPhase::Done;
+    TaskState &task = *job.find({"j", 0, 0, 1});
+    task.phase = TaskPhase::Stopping;
+    task.run = 4;
+    task.failures = 1;
+    task.checkpoint = "c\"\n\xc3\xa9";
+    task.agent = "agent-1";
+    task.incarnation = {"m1", 77};
+    job.find({"j", 0, 1, 2})->run = 2;
+    CHECK(Json::parse(job.progressText()) == Json::parse(R"({"phase":"queued","tasks":{"0":[
+              [1,[1,4,1,"c\"\n\u00e9","agent-1","m1",77],0],[0,0,[0,2,0,""]]]}})"));
+}
+
 TEST_CASE("job progress survives a round trip through its stored form")
 {
     JobModel job(twoSteps("j", 3));
--- a/src/libdispatch/simulated_cell.h
+++ b/src/libdispatch/simulated_cell.h
@@ -26,6 +26,8 @@
     int lostCommit = 0;     ///< per commit: its answer is lost
     int lateReply = 0;      ///< per reply of the owner: it reaches the agent 1 to 6 s late
     int lateInbox = 0;      ///< the owner learns of changes of the inbox only after 1 to 4 s
+    int lostMessage = 0;    ///< per message of an agent: it is lost, or its reply
+    int lateMessage = 0;    ///< per message of an agent: the next one overtakes it
     int cancel = 0;
 };
 
@@ -293,12 +295,7 @@
             (agent.nextPoll <= m_now || agent.ledger->hasUnreportedChanges() ||
              m_owner->hasOrders(agent.name))) {
             agent.nextPoll = m_now + Milliseconds(900);
-            m_owner->handleRequest(agent.ledger->snapshot(900), m_now, true);
-            const ExchangeReply reply = m_owner->reply(agent.name, m_now, true);
-            if (chance(m_faults.lateReply))
-                agent.lateReply = {m_now + randomDuration(1000, 6000), m_now, reply};
-            else
-                applyReply(agent, reply, m_now);
+            exchange(agent);
         }
         // executeOrder() puts back orders that cannot be executed yet, for the next step.
         for (const RunOrder &order : std::exchange(agent.orders, {}))
@@ -323,6 +320,28 @@
             agent.orders.push_back(std::move(order));
     }
 
+    void exchange(Agent &agent)
+    {
+        const auto sendMessage = [&](const ExchangeRequest &request) {
+            const bool lost = chance(m_faults.lostMessage);
+            if (!lost || chance(2))
+                m_owner->handleRequest(request, m_now, true);
+            if (lost) {
+                agent.ledger->exchangeFailed();
+                return;
+            }
+            const ExchangeReply reply = m_owner->reply(agent.name, m_now, true);
+            if (chance(m_faults.lateReply))
+                agent.lateReply = {m_now + randomDuration(1000, 6000), m_now, reply};
+            else
+                applyReply(agent, reply, m_now);
+        };
+        const ExchangeRequest request = agent.ledger->nextMessage(900, m_now);
+        if (chance(m_faults.lateMessage))
+            sendMessage(agent.ledger->nextMessage(0, m_now));
+        sendMessage(request);
+    }
+
     void executeOrder(Agent &agent, const RunOrder &order)
     {
         const std::int64_t fence = agent.ledger->epoch();
