Count a job as begun when a minion has started one of its tasks

What callers could see: "running" and a pending count without the job from the moment of placement, although no minion had begun: while an owner is behind, while a minion carries an order out seconds late, or where the run lapses and the job goes on waiting.

Cause: JobModel::refresh() took any job with a run number above 0 as running. A job now leaves queued when an agent's message shows a run that its minion has confirmed, or an end that the minion has listed; an Absent or lapsed run shows nothing. The change of phase joins the next commit, or is stored by itself after 300 ms, as one row of the state table; this row replaces the one written at placement, so that a job writes no more rows than before. A new owner reads the phase from the progress row, which may still say queued; it writes no state row until the phase changes, so callers never see a job go back.

The simulated cell now checks each stored state: running only after a start, queued never after another phase; every seed of every test checks it.

--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -76,6 +76,9 @@
     void addJob(const Row &row);
     void cancelJob(const std::string &id, BootTime now);
     void markDirty(JobModel &job);
+    /// A minion has started a task of the job.
+    void begin(JobModel &job, BootTime now);
+    void addPhaseWrite(CellCommit &commit, const JobModel &job);
     Location locate(const std::string &task);
 
     void beginSession(MinionView &view, const ExchangeRequest &request);
@@ -128,8 +131,10 @@
     std::set<std::tuple<int, std::int64_t, std::string>> m_unfinishedJobs;
     std::vector<std::string> m_dirty;               // jobs to store, oldest change first
     std::set<std::string> m_dirtySet;               // the same jobs
+    std::set<std::string> m_begunJobs;              // jobs whose phase is to be stored
+    BootTime m_begunStoreAt{};                      // latest time to store m_begunJobs
     std::map<std::string, Staged> m_staged;         // by job
-    std::map<std::string, JobPhase> m_storedPhases; // phase in the stored state row, by job
+    std::map<std::string, JobPhase> m_storedPhases; // phase in the state row; absent: Queued
     std::map<std::string, BootTime> m_endedAt;      // settled jobs, by id
     std::vector<std::string> m_expiredJobs;         // jobs whose rows are to be deleted
     std::optional<std::vector<Staged>> m_inFlight;
--- a/src/include/lavenderarch/dispatch/job_model.h
+++ b/src/include/lavenderarch/dispatch/job_model.h
@@ -44,6 +44,8 @@
     bool isReady(const Occurrence &occurrence, std::size_t step) const;
 
     void setPhase(JobPhase phase) { m_phase = phase; }
+    /// A minion has started a task. Returns true if the job was queued and is running now.
+    bool begin();
     void cancel() { m_cancelled = true; }
     /// Recounts the active runs and the remaining work, and updates the phase unless it is final.
     void refresh();
--- a/src/libdispatch/cell_dispatcher.cpp
+++ b/src/libdispatch/cell_dispatcher.cpp
@@ -12,6 +12,10 @@
 /// A store transaction holds at most 100 entries. Each job writes up to two rows, and the fence
 /// needs two more.
 constexpr std::size_t maxJobsPerCommit = 45;
+/// Limit on the rows of one commit without the fence and the tail model.
+constexpr std::size_t maxRowsPerCommit = 2 * maxJobsPerCommit;
+/// Time for which the phase of a job that has begun waits for a commit with other changes.
+constexpr Milliseconds begunStoreDelay{300};
 /// Limit on the row values of one commit, in bytes. The store accepts 1 MB including its encoding.
 constexpr std::size_t maxCommitBytes = 500'000;
 /// Minimum time between two writes of the tail model, which is stored only as part of a
@@ -159,6 +163,27 @@
     m_placementDue = true;
 }
 
+void CellDispatcher::begin(JobModel &job, BootTime now)
+{
+    if (!job.begin())
+        return;
+    if (m_begunJobs.empty())
+        m_begunStoreAt = now + begunStoreDelay;
+    m_begunJobs.insert(job.spec().id);
+}
+
+void CellDispatcher::addPhaseWrite(CellCommit &commit, const JobModel &job)
+{
+    m_begunJobs.erase(job.spec().id);
+    JobPhase &stored = m_storedPhases.try_emplace(job.spec().id, JobPhase::Queued).first->second;
+    if (stored == job.phase())
+        return;
+    stored = job.phase();
+    commit.writes.push_back(cells::stateWrite(m_cell, job.spec(), stored));
+    recordEvent("job phase changed",
+                {{"job", job.spec().id}, {"phase", Json(stored).get<std::string>()}});
+}
+
 CellDispatcher::Location CellDispatcher::locate(const std::string &task)
 {
     const auto name = TaskName::parse(task);
@@ -179,7 +204,8 @@
         placeWaiting(now);
     }
     expireEndedJobs(now);
-    if (m_dirty.empty() && m_expiredJobs.empty())
+    const bool begunDue = !m_begunJobs.empty() && now >= m_begunStoreAt;
+    if (m_dirty.empty() && m_expiredJobs.empty() && !begunDue)
         return std::nullopt;
     CellCommit commit;
     m_inFlight.emplace();
@@ -195,13 +221,7 @@
         const JobModel &job = found->second;
         commit.writes.push_back({cells::progressKey(m_cell, id), job.progressText(), false});
         bytes += commit.writes.back().value.size();
-        const auto stored = m_storedPhases.find(id);
-        if (stored == m_storedPhases.end() || stored->second != job.phase()) {
-            commit.writes.push_back(cells::stateWrite(m_cell, job.spec(), job.phase()));
-            m_storedPhases[id] = job.phase();
-            recordEvent("job phase changed",
-                        {{"job", id}, {"phase", Json(job.phase()).get<std::string>()}});
-        }
+        addPhaseWrite(commit, job);
         if (job.settled())
             m_endedAt.try_emplace(id, now);
         if (const auto staged = m_staged.find(id); staged != m_staged.end()) {
@@ -210,13 +230,20 @@
         }
     }
     m_dirty.erase(m_dirty.begin(), m_dirty.begin() + static_cast<std::ptrdiff_t>(jobsDequeued));
+    while (!m_begunJobs.empty() && commit.writes.size() < maxRowsPerCommit) {
+        const std::string id = *m_begunJobs.begin();
+        if (const auto found = m_jobs.find(id); found != m_jobs.end())
+            addPhaseWrite(commit, found->second);
+        m_begunJobs.erase(id);
+    }
+    const bool mayDeleteExpired = commit.writes.empty();
     if (m_tailModel.observationCount() != m_storedObservations && now >= m_nextModelStore) {
         m_storedObservations = m_tailModel.observationCount();
         m_nextModelStore = now + modelStoreInterval;
         commit.writes.push_back(
             {{cells::modelTable, m_cell, cells::tailsKey}, m_tailModel.text(), false});
     }
-    if (jobsDequeued == 0) {
+    if (mayDeleteExpired) {
         for (const std::string &id : m_expiredJobs) {
             commit.inboxRemovals.push_back(cells::removal(cells::jobKey(m_cell, id)));
             commit.inboxRemovals.push_back(cells::removal(cells::cancelKey(m_cell, id)));
--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -174,6 +174,8 @@
     const bool current = task != nullptr && task->active() && task->run == end.run.number &&
                          task->agent == view.agent && task->incarnation == view.facts.incarnation;
     view.unexpectedRuns.erase(end.run);
+    if (job != nullptr && end.number > 0)
+        begin(*job, now);
     if (!current) {
         // The end changes nothing: it was processed before, or the run was already given up. If the
         // job still has unstored changes, they may include this end, so the confirmation waits for
@@ -216,6 +218,8 @@
     for (const RunReport &report : request.runs) {
         const auto [job, task] = locate(report.run.task);
         const bool known = view.runs.count(report.run) != 0;
+        if (job != nullptr && !report.starting)
+            begin(*job, now);
         if (!known) {
             if (task != nullptr)
                 view.unexpectedRuns[report.run] = reservedDemand(stepOf(*job, report.run));
--- a/src/libdispatch/dispatch_test.cpp
+++ b/src/libdispatch/dispatch_test.cpp
@@ -115,6 +115,34 @@
 {
     runWithFaults({.delayedOrder = 8});
 }
+// A placed job was no longer counted as pending although no minion had started a task of it.
+TEST_CASE("a job stays queued until a minion has started one of its tasks")
+{
+    SimulatedCell cell(13, 3, {.delayedOrder = 1});
+    cell.submit(twoSteps("a"));
+    cell.advance(Milliseconds(180));
+    REQUIRE(cell.starts() == 0);
+    CHECK(cell.owner().jobs().at("a").activeRuns() == 4);
+    CHECK(cell.phase("a") == JobPhase::Queued);
+    while (cell.starts() == 0)
+        cell.advance(SimulatedCell::stepTime);
+    // One poll of the agent and the delay until the phase is stored; callers may see it 2 s late.
+    cell.advance(Milliseconds(1800));
+    CHECK(cell.phase("a") == JobPhase::Running);
+}
+// A new owner that has not heard of a job's runs yet must not store it as queued again.
+TEST_CASE("a job that has begun stays running for a new owner")
+{
+    SimulatedCell cell(14, 4, {});
+    cell.submit(longRunningJob("watch"));
+    cell.advance(Milliseconds(3000));
+    CHECK(cell.phase("watch") == JobPhase::Running);
+    cell.setFaults({.ownerCrash = 1});
+    cell.advance(SimulatedCell::stepTime);
+    cell.setFaults({.agentPartition = 1});
+    cell.advance(Milliseconds(6000));
+    CHECK(cell.phase("watch") == JobPhase::Running);
+}
 TEST_CASE("jobs complete while answers to commits are lost")
 {
     runWithFaults({.lostCommit = 5});
--- a/src/libdispatch/job_model.cpp
+++ b/src/libdispatch/job_model.cpp
@@ -107,11 +107,19 @@
     });
 }
 
+bool JobModel::begin()
+{
+    if (m_phase != JobPhase::Queued)
+        return false;
+    m_phase = JobPhase::Running;
+    return true;
+}
+
 void JobModel::refresh()
 {
     m_active = 0;
     m_remainingWork = 0;
-    bool started = false;
+    bool begun = false;
     bool done = static_cast<int>(m_occurrences.size()) >= std::max(m_spec.occurrences, 1);
     for (const auto &[number, occurrence] : m_occurrences) {
         for (std::size_t step = 0; step < occurrence.size(); ++step) {
@@ -121,7 +129,7 @@
             for (const TaskState &task : occurrence[step]) {
                 m_remainingWork += task.phase == TaskPhase::Done ? 0 : work;
                 m_active += task.active() ? 1 : 0;
-                started = started || task.run > 0 || task.phase == TaskPhase::Done;
+                begun = begun || task.failures > 0 || task.phase == TaskPhase::Done;
                 done = done && task.phase == TaskPhase::Done;
             }
         }
@@ -132,7 +140,7 @@
         m_phase = JobPhase::Done;
     else if (m_cancelled)
         m_phase = JobPhase::Cancelled;
-    else if (started)
+    else if (begun)
         m_phase = JobPhase::Running;
 }
 
--- a/src/libdispatch/simulated_cell.h
+++ b/src/libdispatch/simulated_cell.h
@@ -372,6 +372,7 @@
         traceRun("minion starts", run);
         const auto name = TaskName::parse(run.task);
         REQUIRE(name);
+        m_begun.insert(name->job);
         const JobSpec &spec = m_specs.at(name->job);
         for (const RunKey &other : m_running)
             CHECK_MESSAGE(other.task != run.task, "task runs on two minions at once: ", run.task);
@@ -413,17 +414,30 @@
     void checkStoredPhases(const CellCommit &commit)
     {
         for (const RowWrite &write : commit.writes) {
-            if (write.key.table != cells::stateTable || write.remove ||
-                Json::parse(write.value).at("phase").get<JobPhase>() != JobPhase::Done)
+            if (write.key.table != cells::stateTable || write.remove)
                 continue;
-            const JobSpec &spec = m_specs.at(write.key.key);
-            for (std::size_t step = 0; step < spec.steps.size(); ++step) {
-                for (int index = 0; index < spec.steps[step].count; ++index)
-                    CHECK_MESSAGE(
-                        m_done.count(TaskName{spec.id, 0, static_cast<int>(step), index}.text()) ==
-                            1,
-                        "job stored as done before all its tasks were done: ", spec.id);
-            }
+            const std::string &id = write.key.key;
+            const JobPhase phase = Json::parse(write.value).at("phase").get<JobPhase>();
+            if (phase == JobPhase::Running)
+                CHECK_MESSAGE(m_begun.count(id) == 1,
+                              "job stored as running before any of its tasks started: ", id);
+            if (phase == JobPhase::Queued)
+                CHECK_MESSAGE(m_storedAsRunning.count(id) == 0,
+                              "job stored as queued after it was running: ", id);
+            else
+                m_storedAsRunning.insert(id);
+            if (phase == JobPhase::Done)
+                checkAllDone(m_specs.at(id));
+        }
+    }
+
+    void checkAllDone(const JobSpec &spec)
+    {
+        for (std::size_t step = 0; step < spec.steps.size(); ++step) {
+            for (int index = 0; index < spec.steps[step].count; ++index)
+                CHECK_MESSAGE(
+                    m_done.count(TaskName{spec.id, 0, static_cast<int>(step), index}.text()) == 1,
+                    "job stored as done before all its tasks were done: ", spec.id);
         }
     }
 
@@ -444,6 +458,8 @@
     std::map<std::string, JobSpec> m_specs;
     std::map<std::string, BootTime> m_cancelledAt;
     std::set<RunKey> m_running;
+    std::set<std::string> m_begun;           // jobs of which a task has started
+    std::set<std::string> m_storedAsRunning; // jobs that were stored in a later phase than queued
     std::set<std::string> m_done;
     std::set<std::string> m_acknowledgedDone;
     std::map<std::string, int> m_acknowledgedFailures;
