--- a/testsuite/platform_case.py
+++ b/testsuite/platform_case.py
@@ -174,13 +174,10 @@
             response = platform.call(entry, "GET", "")
             return response.json()["pending"] if response.status == 200 else None
 
-        def await_pending(entry: int) -> None:
+        for entry in range(ENTRIES):
             wait_until(lambda: pending(entry) == 4, 20,
                        f"entry {entry} to count 4 jobs that fit no minion; logs in "
                        f"{platform.folder}", pause=0.05)
-
-        for entry in range(ENTRIES):
-            await_pending(entry)
         platform.store.forget_history()
         wait_until(lambda: platform.store.reloads.get("lav-state", 0) == ENTRIES, 20,
                    "the entries to reload the states")
@@ -191,7 +188,15 @@
         platform.entries[0].send(signal.SIGKILL)
         platform.entries[0].process.wait()
         platform.entries[0].start()
-        await_pending(0)
+        # A restarted entry answered 0 until it had read the states.
+        answers: List[Optional[int]] = []
+
+        def answered() -> bool:
+            answers.append(pending(0))
+            return answers[-1] is not None
+
+        wait_until(answered, 20, "an answer of the restarted entry", pause=0.005)
+        assert answers[-1] == 4, f"{answers[-1]} pending after a restart"
 
 
 def inject_fault(platform: Platform, rng: random.Random) -> None:
