--- a/src/include/lavenderarch/runtime/job_state_reload.h
+++ b/src/include/lavenderarch/runtime/job_state_reload.h
@@ -3,7 +3,8 @@
 
 #include "lavenderarch/dispatch/cell_tables.h"
 #include "lavenderarch/runtime/job_state_cache.h"
-#include "lavenderarch/runtime/row_follower.h"
+#include "lavenderarch/runtime/reloaded_table.h"
+#include "lavenderarch/storage/row_store.h"
 
 #include <iterator>
 #include <optional>
--- a/src/include/lavenderarch/runtime/row_follower.h
+++ b/src/include/lavenderarch/runtime/row_follower.h
@@ -1,6 +1,7 @@
 // Follows the changes of one table of the store on a thread of its own.
 #pragma once
 
+#include "lavenderarch/runtime/reloaded_table.h"
 #include "lavenderarch/storage/row_store.h"
 #include "lavenderarch/telemetry/log.h"
 
@@ -18,13 +19,6 @@
 /// Delay before the next attempt after a failed call.
 inline constexpr Milliseconds followRetryPause{150};
 
-/// What a reload has read.
-struct ReloadedTable
-{
-    std::int64_t version = 0; ///< version to follow from
-    std::size_t rows = 0;
-};
-
 /// Runs from construction to destruction. `reload` reads all rows; `change` handles one changed
 /// row. Both are called on the follower's thread. A reload that fails is tried again.
 /// Thread-safe. Does not own the store, which must outlive it.
