--- a/src/include/lavenderarch/runtime/row_follower.h
+++ b/src/include/lavenderarch/runtime/row_follower.h
@@ -70,7 +70,7 @@
         // The first reload also serves the requests made before it.
         const bool requested = m_reloadRequested.exchange(false);
         if (!m_loaded || requested) {
-            const Status reloaded = reload();
+            Status reloaded = reload();
             if (!reloaded.ok()) {
                 m_reloadRequested = true;
                 return reloaded;
