Test that a late answer is never the answer to another request

One hypothesis for wrong pending counts was that answers are exchanged on reused connections. The client returns a connection to its pool only after a whole answer and closes it after any error; this was not tested. The test passes without a change of the client.

--- a/src/libhttp/http_test.cpp
+++ b/src/libhttp/http_test.cpp
@@ -4,7 +4,9 @@
 #include "lavenderarch/http/http_client.h"
 #include "lavenderarch/http/http_server.h"
 
+#include <atomic>
 #include <doctest/doctest.h>
+#include <thread>
 
 using namespace lavenderarch;
 
@@ -65,3 +67,33 @@
     CHECK(queryParameter(request, "name") == "two words");
     CHECK(queryParameter(request, "missing").empty());
 }
+
+// Guards against an answer that arrives after its deadline and is taken for that of a later
+// request.
+TEST_CASE("a late answer is never the answer to another request")
+{
+    const Address address("127.0.0.1", 18097);
+    std::atomic<bool> released = false;
+    HttpServerOptions options;
+    options.threads = 4;
+    auto server = HttpServer::start(address, options, [&](const HttpRequest &request) {
+        while (request.path == "/late" && !released)
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        return HttpResponse{200, {}, request.path};
+    });
+    REQUIRE(server.ok());
+    HttpClient client;
+    const auto get = [&](const std::string &path, TimePoint deadline) {
+        return client.exchange(address, {"GET", path, "", {}, ""}, deadline);
+    };
+    REQUIRE(get("/first", testDeadline()).ok());
+    const auto late = get("/late", SystemClock().now() + std::chrono::milliseconds(50));
+    CHECK_FALSE(late.ok());
+    released = true;
+    for (int round = 0; round < 20; ++round) {
+        const std::string path = "/" + std::to_string(round);
+        const auto response = get(path, testDeadline());
+        REQUIRE(response.ok());
+        CHECK(response->body == path);
+    }
+}
