Dispatcher: settled jobs are stored and loaded without their specification

Cause: job rows of ended jobs are kept for retentionMs so that a late repeat finds them, with payloads of up to 4,000 bytes. A load, and each reload of the inbox, read and parsed all of them: 544 of 781 jobs in had ended (1,367,512 bytes, reads 2.7 to 3.0 s, rebuild 0.41 to 0.44 s).

Fix: the owner replaces the job row of a settled job by {} after the commit that stored its end, at most 60 rows in one further transaction every 2 s. A load reads which jobs are settled from the progress rows first and builds no model for them; a reload skips the rows of known jobs before it parses them. Rows that a former owner did not shrink are shrunk by the next one. A shrunk row without progress (the owner died between the two deletions of an expired job) counts as settled and expires; before, such a row was loaded as a new job.

With 200 jobs of 4,000 bytes, half of them settled: 894,490 bytes of job rows before, under 452,682 after.

CellCommit::inboxRemovals is now inboxWrites, as it also holds writes; the simulated cell follows.

Tests, failing on the code before (with its names for the fields): the rows of settled jobs stay in the store without their specifications CHECK( store.bytesOf(cells::jobTable) < ... ) values: CHECK( 894490 < 452682 ) a settled job is loaded without its specification and is not added again by a reload CHECK( next.jobs().size() == 2 ) values: CHECK( 4 == 2 ) a shrunk job row without progress belongs to a settled job and expires CHECK( next.jobs().empty() ) values: CHECK( false )

--- a/src/include/lavenderarch/dispatch/cell_commit.h
+++ b/src/include/lavenderarch/dispatch/cell_commit.h
@@ -11,8 +11,8 @@
 struct CellCommit
 {
     std::vector<RowWrite> writes;
-    /// Rows of the inbox partition, removed once `writes` are stored.
-    std::vector<RowWrite> inboxRemovals;
+    /// Rows of the inbox partition, written or removed once `writes` are stored.
+    std::vector<RowWrite> inboxWrites;
 
     friend bool operator==(const CellCommit &, const CellCommit &) = default;
 };
--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -11,6 +11,7 @@
 #include "lavenderarch/dispatch/tail_model.h"
 #include "lavenderarch/storage/row.h"
 
+#include <deque>
 #include <memory>
 #include <optional>
 #include <set>
@@ -32,8 +33,8 @@
     /// Rebuilds the state from the rows of a cell that was taken over at `now`. Previous owners may
     /// have granted leases until then.
     void load(const std::vector<Row> &jobs, const std::vector<Row> &progress, BootTime now);
-    /// Assumes that each minion with runs holds a lease that started at `now`, since leases may have
-    /// been granted between load() and then.
+    /// Assumes that each minion with runs holds a lease that started at `now`, since leases may
+    /// have been granted between load() and then.
     void assumeLeases(BootTime now);
     /// Applies a new or changed row of the job table.
     void applyJobRow(const Row &row, BootTime now);
@@ -62,6 +63,8 @@
 
     std::int64_t epoch() const { return m_epoch; }
     const std::map<std::string, JobModel> &jobs() const { return m_jobs; }
+    /// Number of settled jobs that are kept. Those that were settled at load() are not in jobs().
+    std::size_t settledJobs() const { return m_endedAt.size(); }
     const std::map<std::string, MinionView> &minions() const { return m_minions; }
     /// Returns and clears the decisions since the last call, for the log.
     std::vector<DispatchEvent> takeEvents();
@@ -76,7 +79,7 @@
     };
     using Location = std::pair<JobModel *, TaskState *>;
 
-    void addJob(const Row &row);
+    void addJob(const Row &row, BootTime now);
     void cancelJob(const std::string &id, BootTime now);
     void markDirty(JobModel &job);
     Location locate(const std::string &task);
@@ -118,6 +121,10 @@
                              const TaskState &task, BootTime now, bool idleJob = false);
     void releaseStaged(const Staged &staged, BootTime now);
     void expireEndedJobs(BootTime now);
+    void settle(const std::string &id, BootTime now);
+    bool shrinkDue(BootTime now) const;
+    /// Adds writes that remove the specifications of settled jobs, which make a takeover read much.
+    void addShrunkRows(CellCommit &commit, BootTime now);
     void recordEvent(std::string message, std::vector<std::pair<std::string, std::string>> fields);
 
     std::string m_cell;
@@ -134,6 +141,8 @@
     std::map<std::string, Staged> m_staged;         // by job
     std::map<std::string, JobPhase> m_storedPhases; // phase in the stored state row, by job
     std::map<std::string, BootTime> m_endedAt;      // settled jobs, by id
+    std::deque<std::string> m_unshrunkJobs;         // settled jobs with a stored specification
+    BootTime m_nextShrink{};                        // earliest time of the next writes of them
     std::vector<std::string> m_expiredJobs;         // jobs whose rows are to be deleted
     std::optional<std::vector<Staged>> m_inFlight;
     TailModel m_tailModel;
--- a/src/include/lavenderarch/dispatch/cell_tables.h
+++ b/src/include/lavenderarch/dispatch/cell_tables.h
@@ -3,6 +3,7 @@
 
 #include "lavenderarch/dispatch/job_phase.h"
 #include "lavenderarch/dispatch/job_spec.h"
+#include "lavenderarch/storage/row.h"
 #include "lavenderarch/storage/row_write.h"
 
 #include <optional>
@@ -33,6 +34,10 @@
 RowKey ownerRowKey(const std::string &cell);
 
 RowWrite jobWrite(const std::string &cell, const JobSpec &job);
+/// Replaces the specification of a settled job, whose row stays so that a repeated submission finds
+/// the job.
+RowWrite settledJobWrite(const std::string &cell, const std::string &job);
+bool isSettledJob(const Row &row);
 RowWrite queuedWrite(const std::string &cell, const JobSpec &job);
 RowWrite stateWrite(const std::string &cell, const JobSpec &job, JobPhase phase);
 RowWrite removal(RowKey key);
--- a/src/include/lavenderarch/dispatch/job_model.h
+++ b/src/include/lavenderarch/dispatch/job_model.h
@@ -54,6 +54,8 @@
 
     /// Serializes the job's progress for the store. A settled job is stored without its tasks.
     std::string progressText() const;
+    /// True when progressText() of a settled job has returned `text`.
+    static bool isSettled(const std::string &text);
     /// Restores the progress from progressText(). The error message says what is not valid.
     Status loadProgress(const std::string &text);
 
--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -326,8 +326,8 @@
             }
             if (!commitUntilStored(stop, commit ? *commit : CellCommit{}))
                 return;
-            if (commit && !commit->inboxRemovals.empty())
-                deleteInboxRows(*commit);
+            if (commit && !commit->inboxWrites.empty())
+                writeInbox(*commit);
         }
         m_fence.release();
     }
@@ -368,14 +368,14 @@
         return true;
     }
 
-    /// Deletes the inbox rows of expired jobs. Rows that cannot be deleted stay until a later owner
-    /// loads the cell, finds these jobs ended and deletes them.
-    void deleteInboxRows(const CellCommit &commit)
+    /// Shrinks the inbox rows of settled jobs and deletes those of expired ones. Rows for which this
+    /// fails stay until a later owner loads the cell and finds these jobs settled.
+    void writeInbox(const CellCommit &commit)
     {
-        const RowTransaction change{{}, commit.inboxRemovals};
+        const RowTransaction change{{}, commit.inboxWrites};
         const auto done = m_store.commit(change, BootClock::now() + ownershipCallTimeout);
         if (!done.ok())
-            logFailure("cell", "cannot delete the inbox rows of expired jobs", done.status(),
+            logFailure("cell", "cannot write the inbox rows of ended jobs", done.status(),
                        {{"cell", m_cell}});
     }
 
--- a/src/include/lavenderarch/runtime/cell_load.h
+++ b/src/include/lavenderarch/runtime/cell_load.h
@@ -51,9 +51,6 @@
             rows.begin(), rows.end(), std::size_t{0},
             [](std::size_t sum, const Row &row) { return sum + row.value.size(); });
     };
-    const auto &loaded = load.dispatcher->jobs();
-    const auto ended = std::count_if(loaded.begin(), loaded.end(),
-                                     [](const auto &entry) { return entry.second.settled(); });
     logEvent(LogLevel::Info, "cell", "cell loaded",
              {{"cell", cell},
               {"epoch", std::to_string(epoch)},
@@ -61,7 +58,7 @@
               {"jobBytes", std::to_string(bytesOf(jobs->rows))},
               {"progressRows", std::to_string(progress->rows.size())},
               {"progressBytes", std::to_string(bytesOf(progress->rows))},
-              {"endedJobs", std::to_string(ended)},
+              {"endedJobs", std::to_string(load.dispatcher->settledJobs())},
               {"readMs", std::to_string((rowsRead - began).count())},
               {"rebuildMs", std::to_string((rebuilt - rowsRead).count())}});
     metrics.observeSeconds("lavender_cell_load_seconds",
--- a/src/libdispatch/cell_dispatcher.cpp
+++ b/src/libdispatch/cell_dispatcher.cpp
@@ -22,6 +22,10 @@
 /// Expired jobs whose rows one commit deletes: three rows in the inbox and two in the cell's own
 /// partition for each job.
 constexpr std::size_t maxExpiredPerCommit = 10;
+/// Settled jobs whose rows one commit shrinks, and the minimum time between two such commits:
+/// each costs the owner a further transaction.
+constexpr std::size_t maxShrunkPerCommit = 60;
+constexpr Milliseconds shrinkInterval{2000};
 
 } // namespace
 
@@ -59,9 +63,16 @@
 void CellDispatcher::load(const std::vector<Row> &jobs, const std::vector<Row> &progress,
                           BootTime now)
 {
+    for (const Row &row : progress) {
+        if (JobModel::isSettled(row.value))
+            m_endedAt[row.key.key] = now;
+    }
     for (const Row &row : jobs) {
-        if (!cells::cancelledJob(row.key))
-            addJob(row);
+        if (cells::cancelledJob(row.key))
+            continue;
+        if (m_endedAt.count(row.key.key) != 0 && !cells::isSettledJob(row))
+            m_unshrunkJobs.push_back(row.key.key);
+        addJob(row, now);
     }
     for (const Row &row : progress) {
         const auto job = m_jobs.find(row.key.key);
@@ -85,7 +96,7 @@
             attach(view, job.step(name), {name.text(), task.run});
         });
         if (job.settled())
-            m_endedAt[id] = now;
+            settle(id, now);
         if (isFinal(job.phase()))
             m_unfinishedJobs.erase({job.spec().priority, job.spec().acceptedMs, id});
     }
@@ -112,17 +123,23 @@
                     {{"cell", m_cell}});
 }
 
-void CellDispatcher::addJob(const Row &row)
+void CellDispatcher::addJob(const Row &row, BootTime now)
 {
+    // A reload returns the rows of all jobs; parsing them again would take long.
+    if (m_jobs.count(row.key.key) != 0 || m_endedAt.count(row.key.key) != 0)
+        return;
+    // The job expired, but its row could not be removed.
+    if (cells::isSettledJob(row)) {
+        m_endedAt[row.key.key] = now;
+        return;
+    }
     const auto spec = parseAs<JobSpec>(row.value, "job row " + row.key.key);
     const Status valid = spec.ok() ? validateJob(*spec) : spec.status();
     if (!valid.ok()) {
         recordEvent("job row is invalid", {{"job", row.key.key}, {"error", messageOf(valid)}});
         return;
     }
-    const auto [job, added] = m_jobs.try_emplace(row.key.key, *spec);
-    if (!added)
-        return;
+    m_jobs.try_emplace(row.key.key, *spec);
     m_unfinishedJobs.emplace(spec->priority, spec->acceptedMs, spec->id);
     m_placementDue = true;
     recordEvent(
@@ -137,7 +154,7 @@
     if (const auto cancelled = cells::cancelledJob(row.key))
         cancelJob(*cancelled, now);
     else
-        addJob(row);
+        addJob(row, now);
 }
 
 void CellDispatcher::cancelJob(const std::string &id, BootTime now)
@@ -151,7 +168,7 @@
     markDirty(job);
     stopActive(job);
     if (job.settled())
-        m_endedAt[id] = now;
+        settle(id, now);
 }
 
 void CellDispatcher::markDirty(JobModel &job)
@@ -185,7 +202,7 @@
         placeWaiting(now);
     }
     expireEndedJobs(now);
-    if (m_dirty.empty() && m_expiredJobs.empty())
+    if (m_dirty.empty() && m_expiredJobs.empty() && !shrinkDue(now))
         return std::nullopt;
     CellCommit commit;
     m_inFlight.emplace();
@@ -209,7 +226,7 @@
                         {{"job", id}, {"phase", Json(job.phase()).get<std::string>()}});
         }
         if (job.settled())
-            m_endedAt.try_emplace(id, now);
+            settle(id, now);
         if (const auto staged = m_staged.find(id); staged != m_staged.end()) {
             m_inFlight->push_back(std::move(staged->second));
             m_staged.erase(staged);
@@ -224,17 +241,43 @@
     }
     if (jobsDequeued == 0) {
         for (const std::string &id : m_expiredJobs) {
-            commit.inboxRemovals.push_back(cells::removal(cells::jobKey(m_cell, id)));
-            commit.inboxRemovals.push_back(cells::removal(cells::cancelKey(m_cell, id)));
-            commit.inboxRemovals.push_back(cells::removal(cells::queuedKey(m_cell, id)));
+            commit.inboxWrites.push_back(cells::removal(cells::jobKey(m_cell, id)));
+            commit.inboxWrites.push_back(cells::removal(cells::cancelKey(m_cell, id)));
+            commit.inboxWrites.push_back(cells::removal(cells::queuedKey(m_cell, id)));
             commit.writes.push_back(cells::removal(cells::stateKey(m_cell, id)));
             commit.writes.push_back(cells::removal(cells::progressKey(m_cell, id)));
         }
         m_expiredJobs.clear();
     }
+    if (shrinkDue(now))
+        addShrunkRows(commit, now);
     return commit;
 }
 
+void CellDispatcher::settle(const std::string &id, BootTime now)
+{
+    if (m_endedAt.try_emplace(id, now).second)
+        m_unshrunkJobs.push_back(id);
+}
+
+bool CellDispatcher::shrinkDue(BootTime now) const
+{
+    return !m_unshrunkJobs.empty() && now >= m_nextShrink;
+}
+
+void CellDispatcher::addShrunkRows(CellCommit &commit, BootTime now)
+{
+    m_nextShrink = now + shrinkInterval;
+    for (std::size_t left = std::min(m_unshrunkJobs.size(), maxShrunkPerCommit); left > 0; --left) {
+        const std::string id = std::move(m_unshrunkJobs.front());
+        m_unshrunkJobs.pop_front();
+        if (m_dirtySet.count(id) != 0)
+            m_unshrunkJobs.push_back(id); // its end is not stored by this commit
+        else if (m_endedAt.count(id) != 0)
+            commit.inboxWrites.push_back(cells::settledJobWrite(m_cell, id));
+    }
+}
+
 void CellDispatcher::expireEndedJobs(BootTime now)
 {
     for (auto ended = m_endedAt.begin();
--- a/src/libdispatch/cell_tables.cpp
+++ b/src/libdispatch/cell_tables.cpp
@@ -8,6 +8,8 @@
 
 /// Key prefix of the jobTable rows that request a job's cancellation.
 const std::string cancelPrefix = "cancel/";
+/// Value of the job row of a settled job.
+const std::string settledValue = "{}";
 
 } // namespace
 
@@ -58,6 +60,16 @@
     return {jobKey(cell, job.id), Json(job).dump(), false};
 }
 
+RowWrite settledJobWrite(const std::string &cell, const std::string &job)
+{
+    return {jobKey(cell, job), settledValue, false};
+}
+
+bool isSettledJob(const Row &row)
+{
+    return row.value == settledValue;
+}
+
 RowWrite queuedWrite(const std::string &cell, const JobSpec &job)
 {
     const JobStateRow row{job.queue, JobPhase::Queued, job.occurrences > 0};
--- a/src/libdispatch/job_model.cpp
+++ b/src/libdispatch/job_model.cpp
@@ -160,6 +160,14 @@
     return stored.dump();
 }
 
+bool JobModel::isSettled(const std::string &text)
+{
+    const auto stored = parseJson(text, "progress");
+    return stored.ok() && stored->is_object() && stored->contains("phase") &&
+           stored->at("phase").is_string() && !stored->contains("tasks") &&
+           isFinal(stored->at("phase").get<JobPhase>());
+}
+
 Status JobModel::loadProgress(const std::string &text)
 {
     const auto stored = parseJson(text, "progress of job " + m_spec.id);
--- a/src/libdispatch/simulated_cell.h
+++ b/src/libdispatch/simulated_cell.h
@@ -341,7 +341,7 @@
         if (const auto commit = m_owner->prepareCommit(m_now)) {
             // A commit whose answer is lost is stored, but the owner learns of it only later.
             apply(commit->writes);
-            apply(commit->inboxRemovals);
+            apply(commit->inboxWrites);
             m_commitAt =
                 m_now + (chance(m_faults.lostCommit) ? randomDuration(100, 1500) : stepTime);
             checkStoredPhases(*commit);
