--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -278,9 +278,9 @@
     for (const RunReport &report : request.runs) {
         const auto [job, task] = locate(report.run.task);
         const bool known = view.runs.count(report.run) != 0;
-        if (job != nullptr && !report.starting)
-            begin(*job, now);
         if (!known) {
+            if (job != nullptr && !report.starting)
+                begin(*job, now);
             if (task != nullptr)
                 view.unexpectedRuns[report.run] = reservedDemand(stepOf(*job, report.run));
             if (view.unexpectedStopped.insert(report.run).second) {
@@ -307,6 +307,8 @@
 void CellDispatcher::processReport(MinionView &view, const RunReport &report, BootTime now)
 {
     const auto [job, task] = locate(report.run.task);
+    if (!report.starting)
+        begin(*job, now);
     // Stop orders of a previous session were discarded, so the stop is ordered again.
     if (task->phase == TaskPhase::Stopping && task->stopOrder == 0)
         sendStop(view, report.run, task->stopOrder);
