Dispatch: placement examines minions only where room has been gained

Cause: a full pass followed each commit and each tick. A pass sorted all unfinished jobs and examined all minions for each job without an active run, whether or not anything had changed since the last failed search.

Room on the minions now has a version. A failed search is kept with the version of the room, and answers for larger demands of the same group too (FailedSearches); a repeated search examines only minions that have gained room since. Jobs with tasks to place are kept in order as they change. A pass is made only when a job or the room has changed, and considers only changed jobs while no minion has gained room. The shares of best-effort images are kept for each minion, and the tail model is looked up without copies.

The limit of 24 jobs without a suitable minion, after which a pass considered only jobs without an active run, is gone: it bounded the work, and kept free room from jobs further behind.

Differences: a minion that reports after a silence is used at once, not at the next tick; best-effort tasks see changed weights of the tail model at a tick.

The tests on the old code: CHECK( examined <= (placed + 2 * shapes) * minions ): 10080 <= 320, jobs := 100 CHECK( cell.owner().placementCounts().passes == passes ): 13 == 3 the minion reports again after a silence: CHECK( placed() ): false

--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -6,6 +6,7 @@
 #include "lavenderarch/dispatch/dispatch_limits.h"
 #include "lavenderarch/dispatch/exchange_reply.h"
 #include "lavenderarch/dispatch/exchange_request.h"
+#include "lavenderarch/dispatch/failed_searches.h"
 #include "lavenderarch/dispatch/job_model.h"
 #include "lavenderarch/dispatch/minion_view.h"
 #include "lavenderarch/dispatch/placement_counts.h"
@@ -74,6 +75,8 @@
         std::vector<std::pair<std::string, RunKey>> absent;
     };
     using Location = std::pair<JobModel *, TaskState *>;
+    /// Order of placement: priority, remaining work, time of acceptance, id.
+    using PlacementKey = std::tuple<int, std::int64_t, std::int64_t, std::string>;
 
     void addJob(const Row &row);
     void cancelJob(const std::string &id, BootTime now);
@@ -108,13 +111,17 @@
 
     void stopStalledRuns(MinionView &view, BootTime now);
     void placeWaiting(BootTime now);
-    std::vector<JobModel *> placementOrder();
-    int placeJob(JobModel &job, BootTime now, int budget, bool &hasUnplaced);
-    int placeStep(JobModel &job, int occurrence, std::size_t step, BootTime now, int budget);
-    int placeGang(JobModel &job, int occurrence, std::size_t step, BootTime now);
+    void updateWaiting(JobModel &job);
+    int placeJob(JobModel &job, BootTime now, int budget);
+    int placeStep(JobModel &job, JobModel::WaitingStep &waiting, BootTime now, int budget);
+    int placeGang(JobModel &job, JobModel::WaitingStep &waiting, BootTime now);
     void place(JobModel &job, const TaskName &name, MinionView &view, BootTime now);
-    MinionView *selectMinion(const JobModel &job, int occurrence, std::size_t step,
-                             const TaskState &task, BootTime now, bool idleJob = false);
+    MinionView *selectMinion(const JobModel &job, const JobModel::WaitingStep &waiting,
+                             const TaskState &task, BootTime now, bool idleJob = false,
+                             bool remember = true);
+    void roomGained(MinionView &view);
+    void headroomGained(MinionView &view);
+    void refreshHeadrooms();
     void reportPlacement(BootTime now);
     void releaseStaged(const Staged &staged, BootTime now);
     void expireEndedJobs(BootTime now);
@@ -129,6 +136,13 @@
     std::map<std::string, MinionView> m_minions; // by agent
     /// Jobs that have not reached a final phase, by (priority, time of acceptance, id).
     std::set<std::tuple<int, std::int64_t, std::string>> m_unfinishedJobs;
+    std::map<PlacementKey, JobModel *> m_waitingJobs;  // unfinished jobs with tasks to place
+    std::map<PlacementKey, JobModel *> m_untriedJobs;  // those that changed since the last pass
+    std::map<std::string, PlacementKey> m_waitingKeys; // keys in m_waitingJobs, by job
+    FailedSearches m_failedSearches;
+    std::int64_t m_roomVersion = 1;                 // increases when a minion gains room
+    std::int64_t m_triedRoomVersion = 0;            // in which all of m_waitingJobs have been tried
+    std::int64_t m_triedObservations = 0;           // observations of m_tailModel at that time
     std::vector<std::string> m_dirty;               // jobs to store, oldest change first
     std::set<std::string> m_dirtySet;               // the same jobs
     std::map<std::string, Staged> m_staged;         // by job
--- a/src/include/lavenderarch/dispatch/job_model.h
+++ b/src/include/lavenderarch/dispatch/job_model.h
@@ -17,6 +17,14 @@
 public:
     /// Tasks of one occurrence by step and index.
     using Occurrence = std::vector<std::vector<TaskState>>;
+    /// A ready step with tasks in Waiting.
+    struct WaitingStep
+    {
+        int occurrence = 0;
+        std::size_t step = 0;
+        /// Version of the room (see FailedSearches) in which no minion was found; 0: not tried.
+        std::int64_t failedAt = 0;
+    };
 
     explicit JobModel(JobSpec spec);
 
@@ -51,6 +59,11 @@
     /// Estimated work of the tasks that are not done, in thousandths of a core times
     /// milliseconds, as of refresh(). Long-running tasks count as 0.
     std::int64_t remainingWork() const { return m_remainingWork; }
+    /// The steps with tasks to place, as of refresh().
+    std::vector<WaitingStep> &waitingSteps() { return m_waitingSteps; }
+    /// Groups of the steps in FailedSearches.
+    void setSearchGroups(std::vector<int> groups) { m_searchGroups = std::move(groups); }
+    int searchGroup(std::size_t step) const { return m_searchGroups[step]; }
 
     /// Serializes the job's progress for the store. A settled job is stored without its tasks.
     std::string progressText() const;
@@ -58,11 +71,15 @@
     Status loadProgress(const std::string &text);
 
 private:
+    void refreshWaitingSteps();
+
     JobSpec m_spec;
     JobPhase m_phase = JobPhase::Queued;
     bool m_cancelled = false;
     int m_active = 0; ///< tasks in Placed or Stopping, as of refresh()
     std::int64_t m_remainingWork = 0;
+    std::vector<WaitingStep> m_waitingSteps;
+    std::vector<int> m_searchGroups; ///< by step; empty until set
     std::map<int, Occurrence> m_occurrences;
 };
 
--- a/src/include/lavenderarch/dispatch/minion_view.h
+++ b/src/include/lavenderarch/dispatch/minion_view.h
@@ -6,6 +6,7 @@
 #include "lavenderarch/dispatch/minion_facts.h"
 #include "lavenderarch/dispatch/run_order.h"
 #include "lavenderarch/dispatch/serving_run.h"
+#include "lavenderarch/dispatch/tail_model.h"
 
 #include <deque>
 #include <map>
@@ -39,9 +40,15 @@
     Resources used;                       ///< demand of `runs` that counts against the capacity
     std::map<RunKey, ServingRun> serving; ///< runs with a tail latency target
     std::map<RunKey, BestEffortRun> bestEffort; ///< best-effort runs
-    bool tailTargetExceeded = false;            ///< a serving run exceeds its tail latency target
-    BootTime nextObservation{};                 ///< earliest time of the next model update
-    bool weightsDue = false; ///< the next reply carries weights of the tail model
+    /// Shares of the processors that `bestEffort` would use at full pace, by image.
+    BestEffortShares fullPaceShares;
+    /// Versions of the room (see FailedSearches) when the minion last gained room for all tasks,
+    /// and headroom for best-effort tasks.
+    std::int64_t roomVersion = 0;
+    std::int64_t headroomVersion = 0;
+    bool tailTargetExceeded = false; ///< a serving run exceeds its tail latency target
+    BootTime nextObservation{};      ///< earliest time of the next model update
+    bool weightsDue = false;         ///< the next reply carries weights of the tail model
 
     std::map<std::string, BootTime> failedJobs; ///< time of the last recent failure here, by job
     BootTime avoidUntil{};                      ///< placement prefers other minions until then
--- a/src/include/lavenderarch/dispatch/tail_model.h
+++ b/src/include/lavenderarch/dispatch/tail_model.h
@@ -48,13 +48,24 @@
         double variance;
     };
     using ImagePair = std::pair<std::string, std::string>; // bestEffort, serving
+    /// Allows look-ups without a copy of the names.
+    struct PairLess
+    {
+        using is_transparent = void; // NOLINT(readability-identifier-naming)
+        template <typename Left, typename Right>
+        bool operator()(const Left &left, const Right &right) const
+        {
+            const int order = std::string_view(left.first).compare(right.first);
+            return order != 0 ? order < 0 : std::string_view(left.second) < right.second;
+        }
+    };
 
     Weight &findOrCreate(const std::string &bestEffort, const std::string &serving);
     void applyCorrection(const std::string &serving, const BestEffortShares &shares, double error,
                          double noise, TailHeadroom *run);
 
     std::int64_t m_observationCount = 0;
-    std::map<ImagePair, Weight> m_weights;
+    std::map<ImagePair, Weight, PairLess> m_weights;
 };
 
 } // namespace lavenderarch
--- a/src/libdispatch/cell_dispatcher.cpp
+++ b/src/libdispatch/cell_dispatcher.cpp
@@ -53,6 +53,8 @@
 void CellDispatcher::setClosedDataCentres(std::set<std::string> dataCentres)
 {
     m_closedDataCentres = std::move(dataCentres);
+    for (auto &[agent, view] : m_minions)
+        roomGained(view);
     m_placementDue = true;
 }
 
@@ -88,6 +90,7 @@
             m_endedAt[id] = now;
         if (isFinal(job.phase()))
             m_unfinishedJobs.erase({job.spec().priority, job.spec().acceptedMs, id});
+        updateWaiting(job);
     }
     for (const Row &row : jobs) {
         if (cells::cancelledJob(row.key))
@@ -117,7 +120,12 @@
     const auto [job, added] = m_jobs.try_emplace(row.key.key, *spec);
     if (!added)
         return;
+    std::vector<int> groups;
+    for (const StepSpec &step : spec->steps)
+        groups.push_back(m_failedSearches.groupOf(spec->service, step));
+    job->second.setSearchGroups(std::move(groups));
     m_unfinishedJobs.emplace(spec->priority, spec->acceptedMs, spec->id);
+    updateWaiting(job->second);
     m_placementDue = true;
     recordEvent(
         "job loaded from the store",
@@ -156,6 +164,7 @@
         m_dirty.push_back(spec.id);
     if (isFinal(job.phase()))
         m_unfinishedJobs.erase({spec.priority, spec.acceptedMs, spec.id});
+    updateWaiting(job);
     m_placementDue = true;
 }
 
@@ -253,7 +262,6 @@
     m_inFlight.reset();
     for (const Staged &staged : released)
         releaseStaged(staged, now);
-    m_placementDue = true;
 }
 
 void CellDispatcher::releaseStaged(const Staged &staged, BootTime now)
--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -34,6 +34,7 @@
     if (request.number <= view.newestMessage)
         return;
     view.newestMessage = request.number;
+    const bool returned = !isFresh(view, now) || view.reachable != request.reachable;
     view.lastHeard = now;
     // reply() grants no lease while the minion does not answer its agent, so that the leases of its
     // runs lapse.
@@ -42,7 +43,8 @@
     const bool sameEpoch = request.epoch == m_epoch;
     while (sameEpoch && !view.outbox.empty() && view.outbox.front().sequence <= request.orderSeen)
         view.outbox.pop_front();
-    m_placementDue = m_placementDue || view.reachable != request.reachable;
+    if (returned)
+        roomGained(view);
     view.reachable = request.reachable;
     if (!request.registered) {
         view.registered = false;
@@ -117,8 +119,7 @@
         view.avoidUntil = {};
         view.avoidMs = 0;
     }
-    if (!view.registered || view.facts != request.facts)
-        m_placementDue = true;
+    const bool changed = !view.registered || view.facts != request.facts;
     if (view.facts.draining != request.facts.draining)
         recordEvent("minion drain state changed",
                     {{"agent", view.agent},
@@ -126,6 +127,8 @@
                      {"draining", request.facts.draining ? "yes" : "no"}});
     view.facts = request.facts;
     view.registered = true;
+    if (changed)
+        roomGained(view);
     resolvePreviousIncarnation(view, now);
     return true;
 }
@@ -173,7 +176,8 @@
     const auto [job, task] = locate(end.run.task);
     const bool current = task != nullptr && task->active() && task->run == end.run.number &&
                          task->agent == view.agent && task->incarnation == view.facts.incarnation;
-    view.unexpectedRuns.erase(end.run);
+    if (view.unexpectedRuns.erase(end.run) != 0)
+        roomGained(view);
     if (!current) {
         // The end changes nothing: it was processed before, or the run was already given up. If the
         // job still has unstored changes, they may include this end, so the confirmation waits for
@@ -212,7 +216,7 @@
 
 void CellDispatcher::processRuns(MinionView &view, const ExchangeRequest &request, BootTime now)
 {
-    view.unexpectedRuns.clear();
+    const auto unexpectedBefore = std::exchange(view.unexpectedRuns, {});
     for (const RunReport &report : request.runs) {
         const auto [job, task] = locate(report.run.task);
         const bool known = view.runs.count(report.run) != 0;
@@ -249,6 +253,8 @@
             send(view, makeOrder(OrderKind::Describe, report.run, step), sequence);
         }
     }
+    if (view.unexpectedRuns != unexpectedBefore)
+        roomGained(view);
     updateTailModel(view, request, now);
     stopMissingRuns(view, request);
     std::erase_if(view.unexpectedStopped, [&](const RunKey &run) {
@@ -297,6 +303,8 @@
     const auto view = m_minions.find(task.agent);
     if (view != m_minions.end())
         detach(view->second, step, end.run);
+    if (view != m_minions.end())
+        roomGained(view->second);
     recordEvent("run ended", {{"task", end.run.task},
                               {"run", std::to_string(end.run.number)},
                               {"outcome", Json(end.outcome).get<std::string>()},
@@ -380,7 +388,7 @@
             job.addDueOccurrences(timeOfDayMs))
             markDirty(job);
     }
-    m_placementDue = true;
+    refreshHeadrooms();
 }
 
 } // namespace lavenderarch
--- a/src/libdispatch/cell_dispatcher_placement.cpp
+++ b/src/libdispatch/cell_dispatcher_placement.cpp
@@ -11,9 +11,6 @@
 
 /// Maximum number of tasks placed in one pass, which bounds the CPU time spent before a commit.
 constexpr int maxPlacementsPerPass = 120;
-/// After this many jobs without a suitable minion, a pass considers only jobs that have no active
-/// run.
-constexpr int maxUnplacedJobs = 24;
 /// Minimum time between two log lines about the work of placement.
 constexpr Milliseconds reportInterval{1000};
 /// Value of TaskState::startOrder while the start waits for its commit.
@@ -38,8 +35,10 @@
     view.used = view.used + reservedDemand(step);
     if (step.tailTargetMs > 0)
         view.serving[run].image = step.image;
-    if (step.bestEffort)
+    if (step.bestEffort) {
         view.bestEffort[run] = {step.image, step.demand.milliCores()};
+        view.fullPaceShares = fullPaceShares(view);
+    }
     view.weightsDue = true;
 }
 
@@ -49,24 +48,51 @@
         return;
     view.used = view.used - reservedDemand(step);
     view.serving.erase(run);
-    view.bestEffort.erase(run);
+    if (view.bestEffort.erase(run) != 0)
+        view.fullPaceShares = fullPaceShares(view);
+}
+
+void CellDispatcher::roomGained(MinionView &view)
+{
+    // The capacity may have changed.
+    view.fullPaceShares = fullPaceShares(view);
+    view.roomVersion = ++m_roomVersion;
+    m_placementDue = true;
+}
+
+/// Does not start a pass, because headrooms change with each observation.
+void CellDispatcher::headroomGained(MinionView &view)
+{
+    view.headroomVersion = ++m_roomVersion;
+}
+
+/// Lets the next pass try best-effort tasks on all minions if the weights have changed.
+void CellDispatcher::refreshHeadrooms()
+{
+    if (m_tailModel.observationCount() != m_triedObservations) {
+        m_triedObservations = m_tailModel.observationCount();
+        for (auto &[agent, view] : m_minions)
+            headroomGained(view);
+    }
+    m_placementDue = m_placementDue || m_roomVersion != m_triedRoomVersion;
 }
 
 /// Orders by priority, then by least remaining work. Under overload this lets the most jobs meet
 /// their objectives, and a job's value grows more slowly than its work.
-std::vector<JobModel *> CellDispatcher::placementOrder()
+void CellDispatcher::updateWaiting(JobModel &job)
 {
-    std::vector<JobModel *> order;
-    for (const auto &[priority, accepted, id] : m_unfinishedJobs) {
-        const auto found = m_jobs.find(id);
-        if (found != m_jobs.end() && m_catalog->serves(found->second.spec().service))
-            order.push_back(&found->second);
+    const JobSpec &spec = job.spec();
+    if (const auto known = m_waitingKeys.find(spec.id); known != m_waitingKeys.end()) {
+        m_waitingJobs.erase(known->second);
+        m_untriedJobs.erase(known->second);
+        m_waitingKeys.erase(known);
     }
-    std::stable_sort(order.begin(), order.end(), [](const JobModel *left, const JobModel *right) {
-        return std::pair(left->spec().priority, left->remainingWork()) <
-               std::pair(right->spec().priority, right->remainingWork());
-    });
-    return order;
+    if (isFinal(job.phase()) || job.waitingSteps().empty())
+        return;
+    const PlacementKey key{spec.priority, job.remainingWork(), spec.acceptedMs, spec.id};
+    m_waitingKeys.emplace(spec.id, key);
+    m_waitingJobs.emplace(key, &job);
+    m_untriedJobs.emplace(key, &job);
 }
 
 void CellDispatcher::placeWaiting(BootTime now)
@@ -75,58 +101,57 @@
         return;
     ++m_placementCounts.passes;
     int budget = maxPlacementsPerPass;
-    int unplaced = 0;
-    for (JobModel *job : placementOrder()) {
-        // A job without an active run is always considered, so that large jobs are not starved; see
-        // PlacementRequest.
-        if (unplaced >= maxUnplacedJobs && job->activeRuns() > 0)
+    // Where no minion has gained room, only jobs that have changed can be placed.
+    const std::int64_t roomVersion = m_roomVersion;
+    auto &jobs = roomVersion == m_triedRoomVersion ? m_untriedJobs : m_waitingJobs;
+    for (auto next = jobs.begin(); next != jobs.end();) {
+        JobModel &job = *(next++)->second; // markDirty() removes or replaces the entry of the job
+        if (!m_catalog->serves(job.spec().service))
             continue;
         ++m_placementCounts.jobs;
-        bool hasUnplaced = false;
-        const int placed = placeJob(*job, now, budget, hasUnplaced);
+        const int placed = placeJob(job, now, budget);
         if (placed > 0)
-            markDirty(*job);
+            markDirty(job);
         budget -= placed;
-        unplaced += hasUnplaced && placed == 0 ? 1 : 0;
         if (budget <= 0) {
             m_placementDue = true;
             return;
         }
     }
+    m_untriedJobs.clear();
+    m_triedRoomVersion = roomVersion;
     m_placementDue = false;
 }
 
-/// Returns the number of placed tasks. Sets `hasUnplaced` if a ready step got no minion.
-int CellDispatcher::placeJob(JobModel &job, BootTime now, int budget, bool &hasUnplaced)
+/// Returns the number of placed tasks.
+int CellDispatcher::placeJob(JobModel &job, BootTime now, int budget)
 {
     int placed = 0;
-    for (auto &[number, occurrence] : job.occurrences()) {
-        for (std::size_t step = 0; step < occurrence.size(); ++step) {
-            if (!job.isReady(occurrence, step))
-                continue;
-            const int count = placeStep(job, number, step, now, budget - placed);
-            hasUnplaced = hasUnplaced || count < 0;
-            placed += std::max(count, 0);
-        }
-    }
+    for (JobModel::WaitingStep &waiting : job.waitingSteps())
+        placed += placeStep(job, waiting, now, budget - placed);
     return placed;
 }
 
-/// Returns the number of placed tasks, or -1 if tasks are waiting and none got a minion.
-int CellDispatcher::placeStep(JobModel &job, int occurrence, std::size_t step, BootTime now,
+/// Returns the number of placed tasks.
+int CellDispatcher::placeStep(JobModel &job, JobModel::WaitingStep &waiting, BootTime now,
                               int budget)
 {
+    if (waiting.failedAt == m_roomVersion)
+        return 0;
+    const auto [occurrence, step, failedAt] = waiting;
     if (job.spec().steps[step].gang)
-        return placeGang(job, occurrence, step, now);
+        return placeGang(job, waiting, now);
     int placed = 0;
     auto &tasks = job.occurrences().at(occurrence)[step];
     for (std::size_t index = 0; index < tasks.size() && placed < budget; ++index) {
         if (tasks[index].phase != TaskPhase::Waiting)
             continue;
         const bool idle = job.activeRuns() == 0 && placed == 0;
-        MinionView *view = selectMinion(job, occurrence, step, tasks[index], now, idle);
-        if (view == nullptr)
-            return placed > 0 ? placed : -1;
+        MinionView *view = selectMinion(job, waiting, tasks[index], now, idle);
+        if (view == nullptr) {
+            waiting.failedAt = m_roomVersion;
+            return placed;
+        }
         place(job, job.name(occurrence, static_cast<int>(step), static_cast<int>(index)), *view,
               now);
         ++placed;
@@ -135,8 +160,12 @@
 }
 
 /// Places all members of the gang or none. Returns like placeStep().
-int CellDispatcher::placeGang(JobModel &job, int occurrence, std::size_t step, BootTime now)
+int CellDispatcher::placeGang(JobModel &job, JobModel::WaitingStep &waitingStep, BootTime now)
 {
+    const auto [occurrence, step, failedAt] = waitingStep;
+    const StepSpec &spec = job.spec().steps[step];
+    const FailedSearches::Search search{job.searchGroup(step), spec.demand, !spec.bestEffort,
+                                        spec.count};
     auto &tasks = job.occurrences().at(occurrence)[step];
     int run = 0;
     int waiting = 0;
@@ -148,11 +177,13 @@
         run = std::max(run, task.run);
         checkpoint = task.checkpoint.empty() ? checkpoint : task.checkpoint;
     }
-    if (waiting == 0)
+    if (waiting == 0 || m_failedSearches.failedAt(search) == m_roomVersion)
         return 0;
     std::vector<std::pair<TaskName, MinionView *>> members;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
-        MinionView *view = selectMinion(job, occurrence, step, tasks[index], now);
+        // With members attached for the attempt only, a failure says nothing about later searches.
+        MinionView *view =
+            selectMinion(job, waitingStep, tasks[index], now, false, members.empty());
         const TaskName name = job.name(occurrence, static_cast<int>(step), static_cast<int>(index));
         if (view == nullptr)
             break;
@@ -172,27 +203,56 @@
         if (complete)
             place(job, name, *view, now);
     }
-    return complete ? static_cast<int>(members.size()) : -1;
+    if (complete)
+        return static_cast<int>(members.size());
+    waitingStep.failedAt = m_roomVersion;
+    if (spec.maxPerMinion == 0)
+        m_failedSearches.record(search, m_roomVersion);
+    return 0;
 }
 
-MinionView *CellDispatcher::selectMinion(const JobModel &job, int occurrence, std::size_t step,
-                                         const TaskState &task, BootTime now, bool idleJob)
+/// Examines only minions that have gained room since a search for at most the same demand failed.
+/// Unless `remember` is set, a failure is not recorded.
+MinionView *CellDispatcher::selectMinion(const JobModel &job, const JobModel::WaitingStep &waiting,
+                                         const TaskState &task, BootTime now, bool idleJob,
+                                         bool remember)
 {
-    const auto sameStep = tasksPerAgent(job.occurrences().at(occurrence)[step]);
-    const PlacementRequest request{&job.spec(), &job.spec().steps[step], &task,
-                                   &sameStep,   &m_closedDataCentres,    &m_tailModel,
-                                   idleJob};
+    const StepSpec &spec = job.spec().steps[waiting.step];
+    const FailedSearches::Search search{job.searchGroup(waiting.step), spec.demand,
+                                        idleJob || !spec.bestEffort};
+    ++m_placementCounts.searches;
+    const std::int64_t groupFailedAt = m_failedSearches.failedAt(search);
+    const std::int64_t failedAt = std::max(groupFailedAt, waiting.failedAt);
+    if (failedAt == m_roomVersion)
+        return nullptr;
+    // A failure of this step alone may be due to maxPerMinion.
+    remember = remember && groupFailedAt == failedAt;
+    const auto sameStep =
+        spec.maxPerMinion > 0
+            ? tasksPerAgent(job.occurrences().at(waiting.occurrence)[waiting.step])
+            : std::map<std::string, int>{};
+    const PlacementRequest request{&job.spec(),          &spec,        &task,
+                                   &m_closedDataCentres, &m_tailModel, idleJob};
     MinionView *best = nullptr;
     double bestScore = 0;
-    ++m_placementCounts.searches;
-    m_placementCounts.minions += static_cast<std::int64_t>(m_minions.size());
     for (auto &[agent, view] : m_minions) {
+        if (view.roomVersion <= failedAt && (!spec.bestEffort || view.headroomVersion <= failedAt))
+            continue;
+        ++m_placementCounts.minions;
         const auto score = placementScore(view, request, now);
-        if (score && (best == nullptr || *score > bestScore)) {
+        if (!score)
+            continue;
+        remember = false;
+        const auto same = sameStep.find(agent);
+        if (same != sameStep.end() && same->second >= spec.maxPerMinion)
+            continue;
+        if (best == nullptr || *score > bestScore) {
             best = &view;
             bestScore = *score;
         }
     }
+    if (remember)
+        m_failedSearches.record(search, m_roomVersion);
     return best;
 }
 
--- a/src/libdispatch/cell_dispatcher_watch.cpp
+++ b/src/libdispatch/cell_dispatcher_watch.cpp
@@ -45,7 +45,7 @@
     const bool observationDue = now >= view.nextObservation && !view.serving.empty();
     const BestEffortShares shares =
         observationDue ? sharesInUse(view, request) : BestEffortShares{};
-    view.tailTargetExceeded = false;
+    const bool exceededBefore = std::exchange(view.tailTargetExceeded, false);
     for (const RunReport &report : request.runs) {
         const auto serving = view.serving.find(report.run);
         const auto [job, task] = locate(report.run.task);
@@ -66,6 +66,8 @@
                       headroomSmoothing * (run.headroom.baseline - run.averageHeadroom)
                 : run.headroom.baseline;
     }
+    if (observationDue || (exceededBefore && !view.tailTargetExceeded))
+        headroomGained(view);
     if (!observationDue)
         return;
     view.nextObservation = now + tailInterval;
@@ -100,7 +102,7 @@
                                      const TaskState &task, BootTime now)
 {
     const MinionView *view =
-        selectMinion(job, name.occurrence, static_cast<std::size_t>(name.step), task, now);
+        selectMinion(job, {name.occurrence, static_cast<std::size_t>(name.step)}, task, now);
     return view != nullptr && view->agent != task.agent &&
            expectedPace(*view, job.step(name), m_tailModel) >= minPaceAfterMove;
 }
--- a/src/libdispatch/job_model.cpp
+++ b/src/libdispatch/job_model.cpp
@@ -126,6 +126,7 @@
             }
         }
     }
+    refreshWaitingSteps();
     if (isFinal(m_phase))
         return;
     if (done)
@@ -136,6 +137,20 @@
         m_phase = JobPhase::Running;
 }
 
+void JobModel::refreshWaitingSteps()
+{
+    m_waitingSteps.clear();
+    for (const auto &[number, occurrence] : m_occurrences) {
+        for (std::size_t step = 0; step < occurrence.size(); ++step) {
+            const bool waiting =
+                std::any_of(occurrence[step].begin(), occurrence[step].end(),
+                            [](const TaskState &task) { return task.phase == TaskPhase::Waiting; });
+            if (waiting && isReady(occurrence, step))
+                m_waitingSteps.push_back({number, step});
+        }
+    }
+}
+
 const StepSpec &stepOf(const JobModel &job, const RunKey &run)
 {
     return job.step(*TaskName::parse(run.task));
--- a/src/libdispatch/loaded_cell.h
+++ b/src/libdispatch/loaded_cell.h
@@ -6,6 +6,7 @@
 #include "lavenderarch/dispatch/cell_tables.h"
 #include "lavenderarch/dispatch/queue_catalog.h"
 
+#include <algorithm>
 #include <memory>
 
 namespace lavenderarch::testing {
@@ -46,6 +47,12 @@
         step.bestEffort = tailTargetMs < 0;
         if (tailTargetMs != 0)
             step.image = (step.bestEffort ? "image-fill-" : "image-serve-") + std::to_string(image);
+        submit(step);
+    }
+
+    /// Submits a job of one step.
+    void submit(const StepSpec &step)
+    {
         JobSpec job;
         job.id = "job-" + std::to_string(m_jobs++);
         job.service = "svc";
@@ -85,6 +92,9 @@
         if (const auto view = m_owner.minions().find(request.agent);
             view != m_owner.minions().end()) {
             for (const RunKey &run : view->second.runs) {
+                if (std::any_of(request.ends.begin(), request.ends.end(),
+                                [&](const RunEnd &end) { return end.run == run; }))
+                    continue;
                 RunReport &runReport = request.runs.emplace_back();
                 runReport.run = run;
                 runReport.progressPercent = minion.serving.count(run) != 0 ? 100 : 50;
--- a/src/libdispatch/placement.cpp
+++ b/src/libdispatch/placement.cpp
@@ -46,15 +46,6 @@
     return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0;
 }
 
-/// Shares of the processors that the best-effort runs would use at full pace, by image.
-BestEffortShares fullPaceShares(const MinionView &view)
-{
-    BestEffortShares shares;
-    for (const auto &[run, bestEffort] : view.bestEffort)
-        shares[bestEffort.image] += share(bestEffort.milliCores, view.facts.capacity.milliCores());
-    return shares;
-}
-
 /// Largest share of its spare headroom that a serving task on the minion would lose to the
 /// best-effort task at full pace; at most 1.
 double worstLossShare(const MinionView &view, const StepSpec &step, const TailModel &tailModel)
@@ -92,10 +83,6 @@
         return false;
     if (!request.step->requiredLabel.empty() && !hasLabel(view, request.step->requiredLabel))
         return false;
-    const auto same = request.sameStep->find(view.agent);
-    if (request.step->maxPerMinion > 0 && same != request.sameStep->end() &&
-        same->second >= request.step->maxPerMinion)
-        return false;
     return (committedResources(view) + reservedDemand(*request.step)).fitsInto(facts.capacity);
 }
 
@@ -126,7 +113,7 @@
     const std::string &image = request.step->image;
     const double unused = share(unreservedMilliCores(view), view.facts.capacity.milliCores());
     return packWeight * (1 - unused) + sameImageWeight * imageAffinity(view, image) -
-           servingLossWeight * request.tailModel->headroomLoss(image, fullPaceShares(view));
+           servingLossWeight * request.tailModel->headroomLoss(image, view.fullPaceShares);
 }
 
 /// Score for a regular task, which is neither best-effort nor serving.
@@ -148,6 +135,14 @@
             step.demand.accelerators()};
 }
 
+BestEffortShares fullPaceShares(const MinionView &view)
+{
+    BestEffortShares shares;
+    for (const auto &[run, bestEffort] : view.bestEffort)
+        shares[bestEffort.image] += share(bestEffort.milliCores, view.facts.capacity.milliCores());
+    return shares;
+}
+
 RunOrder makeOrder(OrderKind kind, const RunKey &run, const StepSpec &step)
 {
     RunOrder order;
@@ -168,13 +163,12 @@
         return 1;
     const double used = peakUsedShare * static_cast<double>(committedResources(view).milliCores());
     double pace = (capacity - used - static_cast<double>(bestEffortMilliCores(view))) / wanted;
-    const BestEffortShares shares = fullPaceShares(view);
     for (const auto &[run, serving] : view.serving) {
         if (serving.averageHeadroom <= 0)
             continue;
         const double loss = tailModel.weight(step.image, serving.image) * wanted / capacity;
         const double free = serving.averageHeadroom - targetHeadroom -
-                            tailModel.headroomLoss(serving.image, shares);
+                            tailModel.headroomLoss(serving.image, view.fullPaceShares);
         if (loss > free)
             pace = std::min(pace, free / loss);
     }
--- a/src/libdispatch/placement.h
+++ b/src/libdispatch/placement.h
@@ -22,8 +22,6 @@
     const JobSpec *job = nullptr;
     const StepSpec *step = nullptr;
     const TaskState *task = nullptr;
-    /// Number of active tasks of the same step and occurrence, by agent.
-    const std::map<std::string, int> *sameStep = nullptr;
     const std::set<std::string> *closedDataCentres = nullptr;
     const TailModel *tailModel = nullptr;
     /// The job has no active run. One best-effort task may start at any expected pace, even on a
@@ -52,7 +50,11 @@
 /// Weights of all pairs of a best-effort and a serving image on the minion.
 std::vector<TailWeight> tailWeights(const MinionView &view, const TailModel &tailModel);
 
+/// The value of MinionView::fullPaceShares for the best-effort runs of `view`.
+BestEffortShares fullPaceShares(const MinionView &view);
+
 /// Score of the minion for the task, higher is better; nullopt when it must not run the task now.
+/// Does not check maxPerMinion.
 std::optional<double> placementScore(const MinionView &view, const PlacementRequest &request,
                                      BootTime now);
 
--- a/src/libdispatch/tail_model.cpp
+++ b/src/libdispatch/tail_model.cpp
@@ -36,7 +36,8 @@
 
 double TailModel::weight(const std::string &bestEffort, const std::string &serving) const
 {
-    const auto known = m_weights.find({bestEffort, serving});
+    const auto known =
+        m_weights.find(std::pair<std::string_view, std::string_view>(bestEffort, serving));
     return known == m_weights.end() ? priorWeight : known->second.value;
 }
 
@@ -124,7 +125,7 @@
     if (!stored.ok())
         return false;
     try {
-        std::map<ImagePair, Weight> weights;
+        std::map<ImagePair, Weight, PairLess> weights;
         for (const Json &pair : stored->at("weights"))
             weights[{pair.at(0).get<std::string>(), pair.at(1).get<std::string>()}] = {
                 pair.at(2).get<double>() / 1000, pair.at(3).get<double>() / 1000};
