Log: batches of whole lines again

Lines are collected for 20 ms again, and a call writes whole lines of at most 4,096 bytes, so that none is cut.

--- a/src/libtelemetry/line_buffer.cpp
+++ b/src/libtelemetry/line_buffer.cpp
@@ -1,4 +1,5 @@
-// Writes each line with a call of its own: a reader that takes what is there sees whole lines.
+// Collects lines for a short time, since a wake-up and a call for each line cost more than the line
+// itself. A call writes whole lines only, so that a reader that keeps up never sees a part of one.
 #include "line_buffer.h"
 
 #include "lavenderarch/core/time.h"
@@ -12,13 +13,15 @@
 namespace lavenderarch {
 namespace {
 
+/// Delay after the first line of a batch. A killed process loses the lines of this time.
+constexpr Milliseconds batchDelay{20};
 /// Time after which the end of the process is noticed while the output is not read.
 constexpr Milliseconds pollInterval{100};
 /// A pipe that is ready for writing takes this many bytes without blocking.
 constexpr std::size_t readyBytes = 4096;
 
 /// False when the output cannot be written.
-bool writeLine(int descriptor, std::string_view text, const std::stop_token &stop)
+bool writeText(int descriptor, std::string_view text, const std::stop_token &stop)
 {
     while (!text.empty()) {
         // A write to a full pipe would block, also beyond the end of the process.
@@ -37,11 +40,15 @@
     return true;
 }
 
-bool writeEachLine(int descriptor, std::string_view lines, const std::stop_token &stop)
+bool writeWholeLines(int descriptor, std::string_view lines, const std::stop_token &stop)
 {
     while (!lines.empty()) {
-        const std::size_t length = std::min(lines.find('\n'), lines.size() - 1) + 1;
-        if (!writeLine(descriptor, lines.substr(0, length), stop))
+        std::size_t length = lines.size();
+        if (length > readyBytes) {
+            const std::size_t last = lines.rfind('\n', readyBytes - 1);
+            length = last == std::string_view::npos ? lines.find('\n') + 1 : last + 1;
+        }
+        if (!writeText(descriptor, lines.substr(0, length), stop))
             return false;
         lines.remove_prefix(length);
     }
@@ -88,6 +95,7 @@
     std::unique_lock lock(m_mutex);
     while (true) {
         m_added.wait(lock, stop, [&] { return !m_lines.empty(); });
+        m_added.wait_for(lock, stop, batchDelay, [] { return false; });
         if (m_lines.empty())
             return; // stop was requested and everything is written
         std::string lines = std::exchange(m_lines, {});
@@ -100,7 +108,7 @@
             reportedDrops = m_counts.dropped;
         }
         lock.unlock();
-        const bool written = writeEachLine(m_descriptor, lines, stop);
+        const bool written = writeWholeLines(m_descriptor, lines, stop);
         lock.lock();
         m_waitingLines -= taken;
         if (!written) {
