A success on a minion discards its oldest failure, not that of the smallest job id

Callers saw nothing certain. The cause was found by reading: failedJobs is ordered by job id and a success erased its first entry, which is a random one as to time. A minion whose newest failure was discarded stopped being suspect too early, and one kept an old failure that was about to expire anyway.

The failure with the smallest time is erased now, as the comment of the count says.

--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -17,8 +17,8 @@
 constexpr Milliseconds minStartTime{500};
 /// Pace in percent below which a best-effort run counts as slowed.
 constexpr int slowPacePercent = 40;
-/// A minion is suspect once this many jobs have failed on it. Each success in between removes one
-/// job from the count.
+/// A minion is suspect once this many jobs have failed on it. Each success in between removes the
+/// job with the oldest failure from the count.
 constexpr std::size_t suspectJobs = 2;
 /// A failure no longer counts after this time.
 constexpr Milliseconds failureWindow{6000};
@@ -373,7 +373,9 @@
                                    BootTime now)
 {
     if (outcome == RunOutcome::Done && !view.failedJobs.empty())
-        view.failedJobs.erase(view.failedJobs.begin());
+        view.failedJobs.erase(std::min_element(
+            view.failedJobs.begin(), view.failedJobs.end(),
+            [](const auto &left, const auto &right) { return left.second < right.second; }));
     if (outcome == RunOutcome::Done)
         view.avoidMs = 0;
     if (outcome != RunOutcome::Failed)
