The owner applies the inbox rows of one answer at once

Callers could see a run of a job that its owner had already received the cancellation of: rows were applied one by one, each under its own lock, and the owner's thread placed tasks between two of them. The run was stopped again, which costs a start and a stop; each row also took one turn at the owner's lock.

The rows of one answer, or of a reload, are applied under one lock together with the time as of which the inbox is read.

Not shown: that this shortens the time to `job loaded` on a loaded owner; no figure is claimed.

--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -229,11 +229,12 @@
             m_dispatcher->setInboxTime(readAt);
             m_dispatcher->setEvacuationsTime(m_evacuationsTime);
         }
+        m_inboxRows.clear();
         {
             RowFollower<Store> follower(
                 m_store, cells::jobTable, [this] { return reloadJobs(); },
-                [this](const Row &row) { applyJobRow(row); },
-                [this](BootTime asOf) { inboxRead(asOf); }, jobs->version);
+                [this](const Row &row) { receiveJobRow(row); },
+                [this](BootTime asOf) { applyJobRows(asOf); }, jobs->version);
             serve(stop);
             // Reset before the follower is destroyed, which may take as long as one of its calls.
             const std::scoped_lock lock(m_mutex);
@@ -250,29 +251,33 @@
         if (!rows.ok())
             return rows.status();
         for (const Row &row : rows->rows)
-            applyJobRow(row);
+            receiveJobRow(row);
         return rows->version;
     }
 
-    void applyJobRow(const Row &row)
+    void receiveJobRow(const Row &row)
     {
-        if (row.key.partition != cells::inbox(m_cell))
-            return;
+        if (row.key.partition == cells::inbox(m_cell))
+            m_inboxRows.push_back(row);
+    }
+
+    /// Applies the received rows at once, so that nothing is placed between a job and its
+    /// cancellation.
+    void applyJobRows(BootTime asOf)
+    {
+        const auto rows = std::exchange(m_inboxRows, {});
         const std::scoped_lock lock(m_mutex);
         if (m_dispatcher == nullptr)
             return;
-        m_dispatcher->applyJobRow(row, BootClock::now());
+        for (const Row &row : rows)
+            m_dispatcher->applyJobRow(row, BootClock::now());
+        m_dispatcher->setInboxTime(asOf);
+        if (rows.empty())
+            return;
         m_workPending = true;
         m_work.notify_all();
     }
 
-    void inboxRead(BootTime asOf)
-    {
-        const std::scoped_lock lock(m_mutex);
-        if (m_dispatcher != nullptr)
-            m_dispatcher->setInboxTime(asOf);
-    }
-
     void serve(const std::stop_token &stop)
     {
         BootTime nextTick = BootClock::now();
@@ -422,7 +427,8 @@
     OwnerRecord m_record;       // as last written or read; used by the thread only
     std::int64_t m_version = 0; // of the owner row; used by the thread only
     AdaptiveTimeout m_commitTimeout;
-    std::string m_pendingMark; // of a write with unknown outcome; used by the thread only
+    std::vector<Row> m_inboxRows; // received and not applied; used by the follower's thread only
+    std::string m_pendingMark;    // of a write with unknown outcome; used by the thread only
 
     mutable std::mutex m_mutex;
     std::condition_variable m_work;    // wakes the thread
--- a/src/libruntime/runtime_test.cpp
+++ b/src/libruntime/runtime_test.cpp
@@ -159,3 +159,39 @@
     REQUIRE(eventually([&] { return answered.load(); }));
     CHECK(currentAsOf.front() <= beforeChange);
 }
+
+// Guards against a run of a job whose cancellation is among the rows that the owner has received.
+TEST_CASE("an owner places no task between two rows of one answer of the store")
+{
+    MemoryRows store;
+    Metrics metrics;
+    CellHost<MemoryRows> host(store, metrics, "svc", "vm-a-1", "1.1.1.1:1", DispatchLimits{});
+    REQUIRE(eventually([&] { return host.owns(); }));
+    auto catalog = std::make_shared<QueueCatalog>();
+    catalog->queues.push_back({"q", "h", "/q/", "svc", 0, 2, 1.5, 400, 3000, false});
+    catalog->services.insert("svc");
+    host.setCatalog(catalog);
+    ExchangeRequest request;
+    request.agent = "agent";
+    request.session = "s";
+    request.epoch = 1;
+    request.registered = request.reachable = true;
+    request.facts = {{"m", 1}, "svc", "dc", {}, Resources(40'000, 80'000, 0), false, 0};
+    for (int round = 0; round < 20; ++round) {
+        ++request.number;
+        REQUIRE(host.exchange(request)->orders.empty());
+        RowTransaction change;
+        std::string last;
+        for (int index = 0; index < 20; ++index) {
+            last = std::to_string(round) + "-" + std::to_string(index);
+            change.writes.push_back(cells::jobWrite("svc", job(last)));
+            change.writes.push_back({cells::cancelKey("svc", last), "{}", false});
+        }
+        REQUIRE(store.commit(change, deadlineIn(2000)).ok());
+        REQUIRE(eventually([&] {
+            return store.readOne(cells::stateKey("svc", last), deadlineIn(2000))->version != 0;
+        }));
+    }
+    ++request.number;
+    CHECK(host.exchange(request)->orders.empty());
+}
