--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -204,11 +204,12 @@
         if (!inboxVersion)
             return;
         std::stop_source served;
+        m_inboxRows.clear();
         RowFollower<Store> follower(
             m_store, cells::jobTable,
             [this, reads = served.get_token()] { return reloadJobs(reads); },
-            [this](const Row &row) { applyJobRow(row); },
-            [this](BootTime asOf) { inboxRead(asOf); }, *inboxVersion);
+            [this](const Row &row) { receiveJobRow(row); },
+            [this](BootTime asOf) { applyJobRows(asOf); }, *inboxVersion);
         serve(stop);
         served.request_stop();
         // Before the follower is destroyed, which may take as long as one of its calls.
@@ -286,29 +287,33 @@
         if (!rows.ok())
             return rows.status();
         for (const Row &row : rows->rows)
-            applyJobRow(row);
+            receiveJobRow(row);
         return ReloadedTable{rows->version, rows->rows.size()};
     }
 
-    void applyJobRow(const Row &row)
+    void receiveJobRow(const Row &row)
     {
-        if (row.key.partition != cells::inbox(m_cell))
-            return;
+        if (row.key.partition == cells::inbox(m_cell))
+            m_inboxRows.push_back(row);
+    }
+
+    /// Applies the received rows at once, so that nothing is placed between a job and its
+    /// cancellation.
+    void applyJobRows(BootTime asOf)
+    {
+        const auto rows = std::exchange(m_inboxRows, {});
         const std::scoped_lock lock(m_mutex);
         if (m_dispatcher == nullptr)
             return;
-        m_dispatcher->applyJobRow(row, BootClock::now());
+        for (const Row &row : rows)
+            m_dispatcher->applyJobRow(row, BootClock::now());
+        m_dispatcher->setInboxTime(asOf);
+        if (rows.empty())
+            return;
         m_workPending = true;
         m_work.notify_all();
     }
 
-    void inboxRead(BootTime asOf)
-    {
-        const std::scoped_lock lock(m_mutex);
-        if (m_dispatcher != nullptr)
-            m_dispatcher->setInboxTime(asOf);
-    }
-
     void serve(const std::stop_token &stop)
     {
         BootTime nextTick = BootClock::now();
@@ -405,8 +410,8 @@
         return true;
     }
 
-    /// Shrinks the inbox rows of settled jobs and deletes those of expired ones. Rows for which this
-    /// fails stay until a later owner loads the cell and finds these jobs settled.
+    /// Shrinks the inbox rows of settled jobs and deletes those of expired ones. Rows for which
+    /// this fails stay until a later owner loads the cell and finds these jobs settled.
     void writeInbox(const CellCommit &commit)
     {
         const RowTransaction change{{}, commit.inboxWrites};
@@ -429,8 +434,9 @@
     const std::string m_owner;
     const DispatchLimits m_limits;
     const Milliseconds m_loadTimeout;
-    OwnerFence<Store> m_fence; // used by the thread only, except for its renewedAt()
-    BootTime m_claimAfter{};   // used by the thread only
+    OwnerFence<Store> m_fence;    // used by the thread only, except for its renewedAt()
+    BootTime m_claimAfter{};      // used by the thread only
+    std::vector<Row> m_inboxRows; // received and not applied; used by the follower's thread only
 
     mutable std::mutex m_mutex;
     std::condition_variable m_work;    // wakes the thread
