--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -368,8 +368,8 @@
         return true;
     }
 
-    /// Shrinks the inbox rows of settled jobs and deletes those of expired ones. Rows for which this
-    /// fails stay until a later owner loads the cell and finds these jobs settled.
+    /// Shrinks the inbox rows of settled jobs and deletes those of expired ones. Rows for which
+    /// this fails stay until a later owner loads the cell and finds these jobs settled.
     void writeInbox(const CellCommit &commit)
     {
         const RowTransaction change{{}, commit.inboxWrites};
