--- /dev/null
+++ b/src/libdispatch/cell_faults.h
@@ -0,0 +1,23 @@
+// Fault rates of a simulated cell.
+#pragma once
+
+namespace lavenderarch::testing {
+
+/// Fault rates of a simulation. A value of N injects the fault with probability 1/N, in each step
+/// for each owner, agent or minion unless noted otherwise; 0 disables it.
+struct CellFaults
+{
+    int ownerCrash = 0;
+    int agentRestart = 0;
+    int minionCrash = 0;
+    int agentPartition = 0; ///< the agent cannot reach the owner for 3 to 12 s
+    int delayedOrder = 0;   ///< per start order: it is executed up to 9 s late
+    int lostCommit = 0;     ///< per commit: its answer is lost
+    int lateReply = 0;      ///< per reply of the owner: it reaches the agent 1 to 6 s late
+    int lateInbox = 0;      ///< the owner learns of changes of the inbox only after 1 to 4 s
+    int lostMessage = 0;    ///< per message of an agent: it is lost, or its reply
+    int lateMessage = 0;    ///< per message of an agent: the next one overtakes it
+    int cancel = 0;
+};
+
+} // namespace lavenderarch::testing
--- /dev/null
+++ b/src/libdispatch/simulated_agent.h
@@ -0,0 +1,37 @@
+// An agent of a simulated cell: its ledger, its minion and what is on its way.
+#pragma once
+
+#include "lavenderarch/dispatch/run_ledger.h"
+#include "simulated_minion.h"
+
+#include <deque>
+#include <memory>
+
+namespace lavenderarch::testing {
+
+/// A reply of the owner on its way to an agent.
+struct LateReply
+{
+    BootTime at{};
+    BootTime sentAt{}; // of the request
+    ExchangeReply reply;
+};
+
+/// An agent of a simulated cell with its minion.
+struct SimulatedAgent
+{
+    std::string name;
+    SimulatedMinion minion;
+    std::unique_ptr<RunLedger> ledger;
+    std::deque<RunOrder> orders;
+    std::optional<LateReply> lateReply; // no request is sent before it arrives
+    BootTime partitionedUntil{};
+    BootTime nextPoll{};
+    BootTime nextCheckIn{};
+    BootTime nextRenewal{};
+    std::optional<BootTime> endsAt; // when the agent's process ends permanently
+    BootTime restartAt{};           // when a crashed minion starts a new incarnation
+    std::int64_t sequence = 0;
+};
+
+} // namespace lavenderarch::testing
--- a/src/libdispatch/simulated_cell.h
+++ b/src/libdispatch/simulated_cell.h
@@ -2,11 +2,12 @@
 // threads or real clocks.
 #pragma once
 
+#include "cell_faults.h"
 #include "lavenderarch/dispatch/cell_dispatcher.h"
 #include "lavenderarch/dispatch/cell_tables.h"
 #include "lavenderarch/dispatch/ownership_watch.h"
 #include "lavenderarch/dispatch/queue_catalog.h"
-#include "simulated_minion.h"
+#include "simulated_agent.h"
 
 #include <cstdlib>
 #include <doctest/doctest.h>
@@ -14,23 +15,6 @@
 
 namespace lavenderarch::testing {
 
-/// Fault rates of a simulation. A value of N injects the fault with probability 1/N, in each step
-/// for each owner, agent or minion unless noted otherwise; 0 disables it.
-struct CellFaults
-{
-    int ownerCrash = 0;
-    int agentRestart = 0;
-    int minionCrash = 0;
-    int agentPartition = 0; ///< the agent cannot reach the owner for 3 to 12 s
-    int delayedOrder = 0;   ///< per start order: it is executed up to 9 s late
-    int lostCommit = 0;     ///< per commit: its answer is lost
-    int lateReply = 0;      ///< per reply of the owner: it reaches the agent 1 to 6 s late
-    int lateInbox = 0;      ///< the owner learns of changes of the inbox only after 1 to 4 s
-    int lostMessage = 0;    ///< per message of an agent: it is lost, or its reply
-    int lateMessage = 0;    ///< per message of an agent: the next one overtakes it
-    int cancel = 0;
-};
-
 /// Advances in steps of 20 ms. Checks the invariants of placement and stored state as runs start,
 /// steps end and commits are stored.
 class SimulatedCell
@@ -109,27 +93,7 @@
     bool trace = std::getenv("LAVENDER_TRACE") != nullptr;
 
 private:
-    struct LateReply
-    {
-        BootTime at{};
-        BootTime sentAt{}; // of the request
-        ExchangeReply reply;
-    };
-    struct Agent
-    {
-        std::string name;
-        SimulatedMinion minion;
-        std::unique_ptr<RunLedger> ledger;
-        std::deque<RunOrder> orders;
-        std::optional<LateReply> lateReply; // no request is sent before it arrives
-        BootTime partitionedUntil{};
-        BootTime nextPoll{};
-        BootTime nextCheckIn{};
-        BootTime nextRenewal{};
-        std::optional<BootTime> endsAt; // when the agent's process ends permanently
-        BootTime restartAt{};           // when a crashed minion starts a new incarnation
-        std::int64_t sequence = 0;
-    };
+    using Agent = SimulatedAgent;
     struct DelayedStart
     {
         BootTime at{};
