--- a/src/include/lavenderarch/dispatch/exchange_request.h
+++ b/src/include/lavenderarch/dispatch/exchange_request.h
@@ -12,8 +12,9 @@
 /// each message of a session, so that an older snapshot that arrives late is discarded.
 ///
 /// A brief message builds on a snapshot of the same session. It has no facts, and `runs` holds only
-/// the runs whose phase has changed, so a run that it does not mention has not ended. To an owner
-/// that ignores `brief` it is a message without a minion's list, which changes no run.
+/// the runs whose phase has changed, so a run that it does not mention has not ended. It leaves out
+/// the ends that an earlier message on the same snapshot has brought to the owner. To an owner that
+/// ignores `brief` it is a message without a minion's list, which changes no run.
 struct ExchangeRequest
 {
     std::string agent;   ///< name of the agent's VM
@@ -26,7 +27,7 @@
     bool reachable = false; ///< the minion answered the agent's last request
     MinionFacts facts;
     std::vector<RunReport> runs;
-    std::vector<RunEnd> ends;   ///< all ends that the owner has not confirmed
+    std::vector<RunEnd> ends;   ///< ends that the owner has not confirmed; all if not brief
     std::int64_t orderSeen = 0; ///< highest order that the snapshot reflects
     /// Maximum time for which the owner may delay the reply until it has an order.
     std::int64_t waitMs = 0;
--- a/src/include/lavenderarch/dispatch/run_ledger.h
+++ b/src/include/lavenderarch/dispatch/run_ledger.h
@@ -63,6 +63,8 @@
     /// The minion has left or has registered with another agent. Its runs end as Absent.
     void minionLeft(const std::string &id);
 
+    /// The owner has replied to `request`: brief messages on the same snapshot leave its ends out.
+    void recordDelivery(const ExchangeRequest &request);
     /// Applies the owner's reply to a message sent at `sentAt`; returns the orders to execute.
     std::vector<RunOrder> applyReply(const ExchangeReply &reply, BootTime sentAt, BootTime now);
 
@@ -88,8 +90,8 @@
     /// The time from which the start of the run is no longer sent; BootTime::max() for none.
     BootTime startBy(const RunKey &run) const;
 
-    /// The next message to the owner, with all unconfirmed ends: brief if the owner has the current
-    /// snapshot and that is not old, otherwise a snapshot.
+    /// The next message to the owner: brief if the owner has the current snapshot and that is not
+    /// old, otherwise a snapshot. A brief message carries the ends that the owner may not know.
     ExchangeRequest nextMessage(std::int64_t waitMs, BootTime now);
     /// A message with the current state and all unconfirmed ends.
     ExchangeRequest snapshot(std::int64_t waitMs);
@@ -111,10 +113,19 @@
     const TailModel &tailModel() const { return m_tailModel; }
 
 private:
+    /// An end that the owner has not confirmed as stored.
+    struct UnconfirmedEnd
+    {
+        RunEnd end;
+        /// The snapshot on which the last answered message with this end builds; 0: none.
+        std::int64_t knownWith = 0;
+    };
+
     void resetIncarnation();
     void updateHeadroom(BootTime now);
     void addAbsent(const RunKey &run, const std::string &reason);
     ExchangeRequest beginMessage(std::int64_t waitMs);
+    void appendEnds(ExchangeRequest &request) const;
     static void appendReport(ExchangeRequest &request, const RunKey &run, LocalRun &local);
 
     std::string m_agent;
@@ -133,9 +144,9 @@
     MinionFacts m_facts;
     std::int64_t m_factsSequence = 0;
     std::map<RunKey, LocalRun> m_runs;
-    TailModel m_tailModel;                 // weights learned by the owner
-    std::map<std::int64_t, RunEnd> m_ends; // ends above m_endsSeen
-    std::map<RunKey, RunEnd> m_absent;
+    TailModel m_tailModel;                         // weights learned by the owner
+    std::map<std::int64_t, UnconfirmedEnd> m_ends; // ends above m_endsSeen
+    std::map<RunKey, UnconfirmedEnd> m_absent;
     std::int64_t m_endsSeen = 0;
     BootTime m_grantUntil{};
     std::int64_t m_clockMs = 0; // the minion's clock
--- a/src/include/lavenderarch/runtime/agent_loop.h
+++ b/src/include/lavenderarch/runtime/agent_loop.h
@@ -162,6 +162,7 @@
             m_ledger.exchangeFailed();
             return false;
         }
+        m_ledger.recordDelivery(request);
         for (RunOrder &order : m_ledger.applyReply(*reply, sentAt, BootClock::now()))
             m_orders.push_back(std::move(order));
         m_ordersAdded.notify_all();
--- a/src/libdispatch/exchange_test.cpp
+++ b/src/libdispatch/exchange_test.cpp
@@ -37,10 +37,18 @@
         deliver(ledger.nextMessage(0, start));
     }
     void list() { ledger.applyListing(listing, ledger.epoch(), start, start); }
-    void deliver(const ExchangeRequest &request)
+    void deliver(const ExchangeRequest &request) { answer(request, receive(request)); }
+    /// The owner receives the message; returns its reply.
+    ExchangeReply receive(const ExchangeRequest &request)
     {
         owner.handleRequest(request, start, true);
-        ledger.applyReply(owner.reply("agent", start, true), start, start);
+        return owner.reply("agent", start, true);
+    }
+    /// The agent receives the reply to the message.
+    void answer(const ExchangeRequest &request, const ExchangeReply &reply)
+    {
+        ledger.recordDelivery(request);
+        ledger.applyReply(reply, start, start);
     }
     /// The message that reports the end of one more run.
     ExchangeRequest endMessage()
--- a/src/libdispatch/run_ledger.cpp
+++ b/src/libdispatch/run_ledger.cpp
@@ -82,10 +82,24 @@
 
 void RunLedger::addAbsent(const RunKey &run, const std::string &reason)
 {
-    m_absent[run] = {0, run, RunOutcome::Absent, "", reason};
+    m_absent[run] = {{0, run, RunOutcome::Absent, "", reason}, 0};
     m_unreportedChanges = true;
 }
 
+void RunLedger::recordDelivery(const ExchangeRequest &request)
+{
+    // An owner that accepts a brief message has processed all answered messages that build on the
+    // same snapshot. One that it ignored was overtaken by a message with the same ends.
+    const std::int64_t snapshot = request.brief ? request.snapshot : request.number;
+    for (const RunEnd &end : request.ends) {
+        if (const auto numbered = m_ends.find(end.number); numbered != m_ends.end())
+            numbered->second.knownWith = snapshot;
+        else if (const auto absent = m_absent.find(end.run);
+                 end.number == 0 && absent != m_absent.end())
+            absent->second.knownWith = snapshot;
+    }
+}
+
 std::vector<RunOrder> RunLedger::applyReply(const ExchangeReply &reply, BootTime sentAt,
                                             BootTime now)
 {
@@ -177,7 +191,8 @@
     for (const RunEnd &end : listing.ends) {
         m_runs.erase(end.run);
         if (end.number > m_endsSeen)
-            m_unreportedChanges = m_ends.emplace(end.number, end).second || m_unreportedChanges;
+            m_unreportedChanges =
+                m_ends.emplace(end.number, UnconfirmedEnd{end, 0}).second || m_unreportedChanges;
     }
     for (auto entry = m_runs.begin(); entry != m_runs.end();) {
         LocalRun &run = entry->second;
@@ -289,16 +304,24 @@
     request.number = m_nextMessage++;
     request.epoch = m_epoch;
     request.reachable = m_reachable;
-    for (const auto &[number, end] : m_ends)
-        request.ends.push_back(end);
-    for (const auto &[run, end] : m_absent)
-        request.ends.push_back(end);
     request.orderSeen = m_orderSeen;
     request.waitMs = waitMs;
     m_unreportedChanges = false;
     return request;
 }
 
+void RunLedger::appendEnds(ExchangeRequest &request) const
+{
+    const auto append = [&](const auto &ends) {
+        for (const auto &[key, unconfirmed] : ends) {
+            if (!request.brief || unconfirmed.knownWith != request.snapshot)
+                request.ends.push_back(unconfirmed.end);
+        }
+    };
+    append(m_ends);
+    append(m_absent);
+}
+
 void RunLedger::appendReport(ExchangeRequest &request, const RunKey &run, LocalRun &local)
 {
     const int load = static_cast<int>(local.load);
@@ -320,6 +343,7 @@
     request.brief = true;
     request.incarnation = m_facts.incarnation;
     request.snapshot = m_snapshotNumber;
+    appendEnds(request);
     for (auto &[run, local] : m_runs) {
         if (!local.reported)
             appendReport(request, run, local);
@@ -333,6 +357,7 @@
     request.registered = m_registered;
     request.listed = m_listedEpoch == m_epoch;
     request.facts = m_facts;
+    appendEnds(request);
     for (auto &[run, local] : m_runs)
         appendReport(request, run, local);
     m_snapshotNumber = request.number;
--- a/src/libdispatch/simulated_agent.h
+++ b/src/libdispatch/simulated_agent.h
@@ -14,6 +14,7 @@
 {
     BootTime at{};
     BootTime sentAt{}; // of the request
+    ExchangeRequest request;
     ExchangeReply reply;
 };
 
--- a/src/libdispatch/simulated_cell.h
+++ b/src/libdispatch/simulated_cell.h
@@ -252,7 +252,7 @@
             agent.ledger->updateFacts(agent.minion.facts, ++agent.sequence);
         }
         if (agent.lateReply && agent.lateReply->at <= m_now) {
-            applyReply(agent, agent.lateReply->reply, agent.lateReply->sentAt);
+            applyReply(agent, *agent.lateReply);
             agent.lateReply.reset();
         }
         if (m_owner && !agent.lateReply && agent.partitionedUntil <= m_now &&
@@ -278,9 +278,10 @@
             agent.ledger->renewalFailed(m_now);
     }
 
-    void applyReply(Agent &agent, const ExchangeReply &reply, BootTime sentAt)
+    void applyReply(Agent &agent, const LateReply &late)
     {
-        for (RunOrder &order : agent.ledger->applyReply(reply, sentAt, m_now))
+        agent.ledger->recordDelivery(late.request);
+        for (RunOrder &order : agent.ledger->applyReply(late.reply, late.sentAt, m_now))
             agent.orders.push_back(std::move(order));
     }
 
@@ -294,11 +295,13 @@
                 agent.ledger->exchangeFailed();
                 return;
             }
-            const ExchangeReply reply = m_owner->reply(agent.name, m_now, true);
-            if (chance(m_faults.lateReply))
-                agent.lateReply = {m_now + randomDuration(1000, 6000), m_now, reply};
-            else
-                applyReply(agent, reply, m_now);
+            LateReply late{m_now, m_now, request, m_owner->reply(agent.name, m_now, true)};
+            if (chance(m_faults.lateReply)) {
+                late.at += randomDuration(1000, 6000);
+                agent.lateReply = std::move(late);
+            } else {
+                applyReply(agent, late);
+            }
         };
         const ExchangeRequest request = agent.ledger->nextMessage(900, m_now);
         if (chance(m_faults.lateMessage))
