Visit neither all settled jobs nor all agents for each commit

Cause: each call of prepareCommit() walked all settled jobs to find expired ones, each tick walked all known jobs to find due occurrences, and each round of the cell's thread looked up by name, twice, whether each agent has orders.

Change: the times at which settled jobs expire are kept in a queue, earliest first (all are kept for the same time); jobs with occurrences are kept in a set of their own; the dispatcher notes the agents that have got orders. UpkeepCounts counts the work.

Failing before (the former loops with the counters in place, 10 and 500 settled jobs): CHECK( after.expiryChecks - before.expiryChecks <= 10 ) values: 21 <= 10, 1001 <= 10 CHECK( after.occurrenceChecks - before.occurrenceChecks == 0 ) values: 21 == 0, 1001 == 0 "only agents that have got orders are to be woken" tests the new interface; it has no failing form before.

--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -11,6 +11,7 @@
 #include "lavenderarch/dispatch/minion_view.h"
 #include "lavenderarch/dispatch/placement_counts.h"
 #include "lavenderarch/dispatch/tail_model.h"
+#include "lavenderarch/dispatch/upkeep_counts.h"
 #include "lavenderarch/storage/row.h"
 
 #include <deque>
@@ -65,6 +66,8 @@
     ExchangeReply reply(const std::string &agent, BootTime arrived, bool mayGrant);
     /// True when a reply would have something that the agent should get without delay.
     bool hasOrders(const std::string &agent) const;
+    /// Returns and clears the agents for which hasOrders() may have become true.
+    std::set<std::string> takeAgentsToWake() { return std::exchange(m_agentsToWake, {}); }
 
     /// Ends the runs of minions whose lease has lapsed, stops stalled and slowed runs, and creates
     /// due occurrences.
@@ -82,9 +85,10 @@
     std::int64_t epoch() const { return m_epoch; }
     const std::map<std::string, JobModel> &jobs() const { return m_jobs; }
     /// Number of settled jobs that are kept. Those that were settled at load() are not in jobs().
-    std::size_t settledJobs() const { return m_endedAt.size(); }
+    std::size_t settledJobs() const { return m_settledJobs.size(); }
     const std::map<std::string, MinionView> &minions() const { return m_minions; }
     const PlacementCounts &placementCounts() const { return m_placementCounts; }
+    const UpkeepCounts &upkeepCounts() const { return m_upkeepCounts; }
     /// Returns and clears the decisions since the last call, for the log.
     std::vector<DispatchEvent> takeEvents();
 
@@ -103,6 +107,8 @@
     void addJob(const Row &row, BootTime now);
     void cancelJob(const std::string &id, BootTime now);
     void markDirty(JobModel &job);
+    /// The job has reached a final phase.
+    void removeUnfinished(const JobSpec &spec);
     /// A minion has started a task of the job.
     void begin(JobModel &job, BootTime now);
     void addPhaseWrite(CellCommit &commit, const JobModel &job);
@@ -135,6 +141,7 @@
     void stop(MinionView &view, const RunKey &run, TaskState &task);
     void stopActive(JobModel &job);
     void send(MinionView &view, RunOrder order, std::int64_t &sequence);
+    void confirmAbsent(MinionView &view, const RunKey &run);
     /// RunOrder::startWithinMs of a start in the reply to a request that arrived at `arrived`.
     std::int64_t startWithinMs(const MinionView &view, BootTime arrived) const;
 
@@ -155,6 +162,8 @@
     void releaseStaged(const Staged &staged, BootTime now);
     void expireEndedJobs(BootTime now);
     void settle(const std::string &id, BootTime now);
+    /// Keeps the id of a settled job until it expires. False when it was known already.
+    bool keepSettled(const std::string &id, BootTime now);
     bool shrinkDue(BootTime now) const;
     /// Adds writes that remove the specifications of settled jobs, which make a takeover read much.
     void addShrunkRows(CellCommit &commit, BootTime now);
@@ -169,8 +178,10 @@
     BootTime m_evacuationsTime{};
     std::map<std::string, JobModel> m_jobs;
     std::map<std::string, MinionView> m_minions; // by agent
+    std::set<std::string> m_agentsToWake;
     /// Jobs that have not reached a final phase, by (priority, time of acceptance, id).
     std::set<std::tuple<int, std::int64_t, std::string>> m_unfinishedJobs;
+    std::set<std::string> m_recurringJobs;             // unfinished jobs with occurrences
     std::map<PlacementKey, JobModel *> m_waitingJobs;  // unfinished jobs with tasks to place
     std::map<PlacementKey, JobModel *> m_untriedJobs;  // those that changed since the last pass
     std::map<std::string, PlacementKey> m_waitingKeys; // keys in m_waitingJobs, by job
@@ -184,16 +195,19 @@
     BootTime m_begunStoreAt{};                      // latest time to store m_begunJobs
     std::map<std::string, Staged> m_staged;         // by job
     std::map<std::string, JobPhase> m_storedPhases; // phase in the state row; absent: Queued
-    std::map<std::string, BootTime> m_endedAt;      // settled jobs, by id
-    std::deque<std::string> m_unshrunkJobs;         // settled jobs with a stored specification
-    BootTime m_nextShrink{};                        // earliest time of the next writes of them
-    std::vector<std::string> m_expiredJobs;         // jobs whose rows are to be deleted
+    std::set<std::string> m_settledJobs;
+    /// When each of m_settledJobs expires, earliest first.
+    std::deque<std::pair<BootTime, std::string>> m_expiries;
+    std::deque<std::string> m_unshrunkJobs; // settled jobs with a stored specification
+    BootTime m_nextShrink{};                // earliest time of the next writes of them
+    std::vector<std::string> m_expiredJobs; // jobs whose rows are to be deleted
     std::optional<std::vector<Staged>> m_inFlight;
     TailModel m_tailModel;
     std::int64_t m_storedObservations = 0; // observations in the stored model
     BootTime m_nextModelStore{};           // earliest time of the next write of the model
     std::vector<DispatchEvent> m_events;
     PlacementCounts m_placementCounts;
+    UpkeepCounts m_upkeepCounts;
     PlacementCounts m_reportedCounts; // as of the last report in the log
     BootTime m_nextReport{};          // earliest time of the next report
     bool m_placementDue = true;       // a change may allow a waiting task to be placed
--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -153,7 +153,8 @@
         if (state == State::Idle)
             m_dispatcher.reset();
         m_changed.notify_all();
-        wakeAgents(true);
+        for (const auto &[agent, waiter] : m_waiters)
+            waiter->notify_all();
     }
 
     Status notOwner() const
@@ -170,12 +171,12 @@
         return *waiter;
     }
 
-    /// Requires m_mutex. Wakes the blocked calls of agents that have orders, or all of them.
-    void wakeAgents(bool all)
+    /// Requires m_mutex. Wakes the blocked calls of agents that have got orders.
+    void wakeAgents()
     {
-        for (const auto &[agent, waiter] : m_waiters) {
-            if (all || m_dispatcher->hasOrders(agent))
-                waiter->notify_all();
+        for (const std::string &agent : m_dispatcher->takeAgentsToWake()) {
+            if (const auto waiter = m_waiters.find(agent); waiter != m_waiters.end())
+                waiter->second->notify_all();
         }
     }
 
@@ -340,7 +341,7 @@
                 const BootTime placedAt = BootClock::now();
                 commit = prepareCommit(placedAt, m_dispatcher->canStartInTime(placedAt));
                 logEvents();
-                wakeAgents(false);
+                wakeAgents();
                 if (!commit && BootClock::now() < renewal)
                     continue;
             }
@@ -406,7 +407,7 @@
             return true;
         m_dispatcher->commitApplied(BootClock::now());
         m_workPending = m_workPending || !commit.writes.empty();
-        wakeAgents(false);
+        wakeAgents();
         return true;
     }
 
--- a/src/libdispatch/cell_dispatcher.cpp
+++ b/src/libdispatch/cell_dispatcher.cpp
@@ -71,12 +71,12 @@
 {
     for (const Row &row : progress) {
         if (JobModel::isSettled(row.value))
-            m_endedAt[row.key.key] = now;
+            keepSettled(row.key.key, now);
     }
     for (const Row &row : jobs) {
         if (cells::cancelledJob(row.key))
             continue;
-        if (m_endedAt.count(row.key.key) != 0 && !cells::isSettledJob(row))
+        if (m_settledJobs.count(row.key.key) != 0 && !cells::isSettledJob(row))
             m_unshrunkJobs.push_back(row.key.key);
         addJob(row, now);
     }
@@ -104,7 +104,7 @@
         if (job.settled())
             settle(id, now);
         if (isFinal(job.phase()))
-            m_unfinishedJobs.erase({job.spec().priority, job.spec().acceptedMs, id});
+            removeUnfinished(job.spec());
         updateWaiting(job);
     }
     for (const Row &row : jobs) {
@@ -133,11 +133,11 @@
 void CellDispatcher::addJob(const Row &row, BootTime now)
 {
     // A reload returns the rows of all jobs; parsing them again would take long.
-    if (m_jobs.count(row.key.key) != 0 || m_endedAt.count(row.key.key) != 0)
+    if (m_jobs.count(row.key.key) != 0 || m_settledJobs.count(row.key.key) != 0)
         return;
     // The job expired, but its row could not be removed.
     if (cells::isSettledJob(row)) {
-        m_endedAt[row.key.key] = now;
+        keepSettled(row.key.key, now);
         return;
     }
     const auto spec = parseAs<JobSpec>(row.value, "job row " + row.key.key);
@@ -152,6 +152,8 @@
         groups.push_back(m_failedSearches.groupOf(spec->service, step));
     job->second.setSearchGroups(std::move(groups));
     m_unfinishedJobs.emplace(spec->priority, spec->acceptedMs, spec->id);
+    if (spec->occurrences > 0)
+        m_recurringJobs.insert(spec->id);
     updateWaiting(job->second);
     m_placementDue = true;
     recordEvent(
@@ -190,11 +192,17 @@
     if (m_dirtySet.insert(spec.id).second)
         m_dirty.push_back(spec.id);
     if (isFinal(job.phase()))
-        m_unfinishedJobs.erase({spec.priority, spec.acceptedMs, spec.id});
+        removeUnfinished(spec);
     updateWaiting(job);
     m_placementDue = true;
 }
 
+void CellDispatcher::removeUnfinished(const JobSpec &spec)
+{
+    m_unfinishedJobs.erase({spec.priority, spec.acceptedMs, spec.id});
+    m_recurringJobs.erase(spec.id);
+}
+
 void CellDispatcher::begin(JobModel &job, BootTime now)
 {
     if (!job.begin())
@@ -293,10 +301,18 @@
 
 void CellDispatcher::settle(const std::string &id, BootTime now)
 {
-    if (m_endedAt.try_emplace(id, now).second)
+    if (keepSettled(id, now))
         m_unshrunkJobs.push_back(id);
 }
 
+bool CellDispatcher::keepSettled(const std::string &id, BootTime now)
+{
+    const bool added = m_settledJobs.insert(id).second;
+    if (added)
+        m_expiries.emplace_back(now + Milliseconds(m_limits.retentionMs), id);
+    return added;
+}
+
 bool CellDispatcher::shrinkDue(BootTime now) const
 {
     return !m_unshrunkJobs.empty() && now >= m_nextShrink;
@@ -310,23 +326,23 @@
         m_unshrunkJobs.pop_front();
         if (m_dirtySet.count(id) != 0)
             m_unshrunkJobs.push_back(id); // its end is not stored by this commit
-        else if (m_endedAt.count(id) != 0)
+        else if (m_settledJobs.count(id) != 0)
             commit.inboxWrites.push_back(cells::settledJobWrite(m_cell, id));
     }
 }
 
 void CellDispatcher::expireEndedJobs(BootTime now)
 {
-    for (auto ended = m_endedAt.begin();
-         ended != m_endedAt.end() && m_expiredJobs.size() < maxExpiredPerCommit;) {
-        if (now - ended->second < Milliseconds(m_limits.retentionMs)) {
-            ++ended;
-            continue;
-        }
-        m_expiredJobs.push_back(ended->first);
-        m_jobs.erase(ended->first);
-        m_storedPhases.erase(ended->first);
-        ended = m_endedAt.erase(ended);
+    while (!m_expiries.empty() && m_expiredJobs.size() < maxExpiredPerCommit) {
+        ++m_upkeepCounts.expiryChecks;
+        auto &[expires, id] = m_expiries.front();
+        if (now < expires)
+            return;
+        m_jobs.erase(id);
+        m_storedPhases.erase(id);
+        m_settledJobs.erase(id);
+        m_expiredJobs.push_back(std::move(id));
+        m_expiries.pop_front();
     }
 }
 
@@ -349,7 +365,7 @@
         advanceEndsSeen(view);
     }
     for (const auto &[agent, run] : staged.absent)
-        m_minions[agent].absentSeen.push_back(run);
+        confirmAbsent(m_minions[agent], run);
     for (const auto &[agent, order] : staged.orders) {
         const auto [job, task] = locate(order.run.task);
         MinionView &view = m_minions[agent];
@@ -372,6 +388,13 @@
     order.sequence = view.nextOrder++;
     sequence = order.sequence;
     view.outbox.push_back(std::move(order));
+    m_agentsToWake.insert(view.agent);
+}
+
+void CellDispatcher::confirmAbsent(MinionView &view, const RunKey &run)
+{
+    view.absentSeen.push_back(run);
+    m_agentsToWake.insert(view.agent);
 }
 
 void CellDispatcher::sendStop(MinionView &view, const RunKey &run, std::int64_t &stopOrder)
--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -73,6 +73,7 @@
     if (request.epoch != m_epoch || view.snapshot == 0 || view.snapshot != request.snapshot ||
         view.facts.incarnation != request.incarnation) {
         view.snapshotDue = true;
+        m_agentsToWake.insert(view.agent);
         return;
     }
     processEnds(view, request, now);
@@ -249,7 +250,7 @@
             stageEnd(id, view, end);
             markDirty(*job);
         } else if (end.number == 0)
-            view.absentSeen.push_back(end.run);
+            confirmAbsent(view, end.run);
         else
             view.ends[end.number] = true;
         return;
@@ -458,9 +459,10 @@
         stopStalledRuns(view, now);
         moveSlowedRuns(view, now);
     }
-    for (auto &[id, job] : m_jobs) {
-        if (job.spec().occurrences > 0 && !isFinal(job.phase()) &&
-            job.addDueOccurrences(timeOfDayMs))
+    for (auto next = m_recurringJobs.begin(); next != m_recurringJobs.end();) {
+        ++m_upkeepCounts.occurrenceChecks;
+        JobModel &job = m_jobs.at(*next++); // markDirty() removes the id of a finished job
+        if (job.addDueOccurrences(timeOfDayMs))
             markDirty(job);
     }
     refreshHeadrooms();
--- /dev/null
+++ b/src/libdispatch/upkeep_test.cpp
@@ -0,0 +1,73 @@
+// Tests of the work that a cell's owner does for jobs that are settled or wait, in counts.
+#include "loaded_cell.h"
+
+#include <doctest/doctest.h>
+
+using namespace lavenderarch;
+using lavenderarch::testing::LoadedCell;
+
+namespace {
+
+/// A cell in which `jobs` jobs have ended and as many wait for room.
+LoadedCell cellWithHistory(int jobs)
+{
+    LoadedCell cell(2);
+    for (int job = 0; job < jobs; ++job) {
+        cell.submit(1, Resources(500, 100, 0));
+        cell.settle();
+        cell.endRun(cell.activeRun(0));
+        cell.settle();
+    }
+    cell.submit(2, Resources(16'000, 64'000, 0));
+    for (int job = 0; job < jobs; ++job)
+        cell.submit(1, Resources(500, 100, 0));
+    cell.settle();
+    return cell;
+}
+
+} // namespace
+
+// Each commit examined all settled jobs, and each tick all jobs.
+TEST_CASE("the work of a commit and of a tick does not grow with the known jobs")
+{
+    for (const int jobs : {10, 500}) {
+        CAPTURE(jobs);
+        LoadedCell cell = cellWithHistory(jobs);
+        REQUIRE(cell.owner().settledJobs() == static_cast<std::size_t>(jobs));
+        const UpkeepCounts before = cell.owner().upkeepCounts();
+        cell.endRun(cell.activeRun(0));
+        cell.tick();
+        cell.settle();
+        const UpkeepCounts &after = cell.owner().upkeepCounts();
+        CHECK(after.expiryChecks - before.expiryChecks <= 10);
+        CHECK(after.occurrenceChecks - before.occurrenceChecks == 0);
+    }
+}
+
+// Each commit looked up the orders of all agents.
+TEST_CASE("only agents that have got orders are to be woken")
+{
+    LoadedCell cell(50);
+    cell.submit(2, Resources(500, 100, 0));
+    cell.settle();
+    CHECK(cell.owner().takeAgentsToWake().size() == 2);
+    CHECK(cell.owner().takeAgentsToWake().empty());
+    cell.endRun(cell.activeRun(0));
+    cell.settle();
+    CHECK(cell.owner().takeAgentsToWake().empty());
+}
+
+TEST_CASE("settled jobs expire in the order in which they ended, a few with each commit")
+{
+    LoadedCell cell = cellWithHistory(30);
+    cell.advance(Milliseconds(DispatchLimits{}.retentionMs));
+    std::vector<std::size_t> left;
+    while (const auto commit = cell.owner().prepareCommit(cell.now())) {
+        cell.owner().commitApplied(cell.now());
+        left.push_back(cell.owner().settledJobs());
+    }
+    REQUIRE(!left.empty());
+    CHECK(left.back() == 0);
+    CHECK(cell.owner().jobs().count("job-29") == 0);
+    CHECK(cell.owner().jobs().count("job-31") == 1);
+}
