Fill the transaction of a commit instead of stopping at 45 jobs

Cause: a commit took at most 45 jobs, as if each wrote its phase besides its progress. An owner that is short of processor time commits 3 to 5 times a second, so that starts and ends of about 100 unfinished jobs waited for the second or third commit.

Change: the limit counts rows. 96 rows, one of the tail model, and two entries of the fence are 99 of the 100.

Failing before: CHECK( commit->writes.size() == jobs ) is NOT correct! values: CHECK( 45 == 90 )

--- a/src/libdispatch/cell_dispatcher.cpp
+++ b/src/libdispatch/cell_dispatcher.cpp
@@ -9,11 +9,11 @@
 namespace lavenderarch {
 namespace {
 
-/// A store transaction holds at most 100 entries. Each job writes up to two rows, and the fence
-/// needs two more.
-constexpr std::size_t maxJobsPerCommit = 45;
-/// Limit on the rows of one commit without the fence and the tail model.
-constexpr std::size_t maxRowsPerCommit = 2 * maxJobsPerCommit;
+/// Limit on the rows that jobs write in one commit. A store transaction holds at most 100 entries,
+/// of which the fence needs two and the tail model one.
+constexpr std::size_t maxRowsPerCommit = 96;
+/// A job writes its progress and sometimes its phase.
+constexpr std::size_t maxRowsPerJob = 2;
 /// Time for which the phase of a job that has begun waits for a commit with other changes.
 constexpr Milliseconds begunStoreDelay{300};
 /// Limit on the row values of one commit, in bytes. The store accepts 1 MB including its encoding.
@@ -252,8 +252,8 @@
     m_inFlight.emplace();
     std::size_t bytes = 0;
     std::size_t jobsDequeued = 0;
-    while (jobsDequeued < m_dirty.size() && jobsDequeued < maxJobsPerCommit &&
-           bytes < maxCommitBytes) {
+    while (jobsDequeued < m_dirty.size() && bytes < maxCommitBytes &&
+           commit.writes.size() + maxRowsPerJob <= maxRowsPerCommit) {
         const std::string &id = m_dirty[jobsDequeued++];
         m_dirtySet.erase(id);
         const auto found = m_jobs.find(id);
--- a/src/libdispatch/upkeep_test.cpp
+++ b/src/libdispatch/upkeep_test.cpp
@@ -57,6 +57,38 @@
     CHECK(cell.owner().takeAgentsToWake().empty());
 }
 
+// A commit stored 45 jobs, as if each had a new phase, so that ends and starts waited for the next.
+TEST_CASE("a commit stores as many jobs as a transaction of the store holds")
+{
+    constexpr std::size_t jobs = 90;
+    LoadedCell cell(40);
+    for (std::size_t job = 0; job < jobs; ++job)
+        cell.submit(3, Resources(500, 100, 0));
+    cell.settle();
+    const auto endRuns = [&](const std::string &index) {
+        std::vector<std::pair<std::size_t, RunKey>> ending;
+        for (std::size_t number = 0; number < cell.activeRuns(); ++number) {
+            if (cell.activeRun(number).second.task.ends_with(index))
+                ending.push_back(cell.activeRun(number));
+        }
+        REQUIRE(ending.size() == jobs);
+        for (const auto &run : ending)
+            cell.endRun(run);
+    };
+    endRuns(".0"); // starts the jobs, so that each writes its phase too
+    std::size_t rows = 0;
+    while (const auto commit = cell.owner().prepareCommit(cell.now())) {
+        CHECK(commit->writes.size() <= 97); // the fence takes two of the 100 entries, one is spare
+        rows += commit->writes.size();
+        cell.owner().commitApplied(cell.now());
+    }
+    CHECK(rows == 2 * jobs);
+    endRuns(".1");
+    const auto commit = cell.owner().prepareCommit(cell.now());
+    REQUIRE(commit.has_value());
+    CHECK(commit->writes.size() == jobs);
+}
+
 TEST_CASE("settled jobs expire in the order in which they ended, a few with each commit")
 {
     LoadedCell cell = cellWithHistory(30);
