Write the inbox rows of ended jobs on a thread of their own

Cause: every 2 s, and with each deletion of expired jobs, the cell's thread made a second call to the store before its next commit.

Change: InboxWriter takes these writes. They need no fence: they concern jobs whose end is stored.

Failing before, with the second job's end stored only once the inbox write is let go: CHECK( eventually([&] { return isStored("b"); }) ) is NOT correct! values: CHECK( false )

Ruled out: one transaction for both, as the rows lie in two partitions.

--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -3,6 +3,7 @@
 
 #include "lavenderarch/dispatch/queue_catalog.h"
 #include "lavenderarch/runtime/cell_load.h"
+#include "lavenderarch/runtime/inbox_writer.h"
 #include "lavenderarch/runtime/owner_fence.h"
 #include "lavenderarch/runtime/row_follower.h"
 #include "lavenderarch/telemetry/cpu_time.h"
@@ -211,9 +212,10 @@
             [this, reads = served.get_token()] { return reloadJobs(reads); },
             [this](const Row &row) { receiveJobRow(row); },
             [this](BootTime asOf) { applyJobRows(asOf); }, *inboxVersion);
-        serve(stop);
+        InboxWriter<Store> inboxWriter(m_store, m_cell);
+        serve(stop, inboxWriter);
         served.request_stop();
-        // Before the follower is destroyed, which may take as long as one of its calls.
+        // Before follower and writer are destroyed, which may take as long as one of their calls.
         const std::scoped_lock lock(m_mutex);
         setState(State::Idle);
     }
@@ -315,7 +317,7 @@
         m_work.notify_all();
     }
 
-    void serve(const std::stop_token &stop)
+    void serve(const std::stop_token &stop, InboxWriter<Store> &inboxWriter)
     {
         BootTime nextTick = BootClock::now();
         while (true) {
@@ -348,7 +350,7 @@
             if (!commitUntilStored(stop, commit ? *commit : CellCommit{}))
                 return;
             if (commit && !commit->inboxWrites.empty())
-                writeInbox(*commit);
+                inboxWriter.add(std::move(commit->inboxWrites));
         }
         m_fence.release();
     }
@@ -411,17 +413,6 @@
         return true;
     }
 
-    /// Shrinks the inbox rows of settled jobs and deletes those of expired ones. Rows for which
-    /// this fails stay until a later owner loads the cell and finds these jobs settled.
-    void writeInbox(const CellCommit &commit)
-    {
-        const RowTransaction change{{}, commit.inboxWrites};
-        const auto done = m_store.commit(change, BootClock::now() + ownershipCallTimeout);
-        if (!done.ok())
-            logFailure("cell", "cannot write the inbox rows of ended jobs", done.status(),
-                       {{"cell", m_cell}});
-    }
-
     /// Requires m_mutex.
     void logEvents()
     {
--- a/src/libruntime/runtime_test.cpp
+++ b/src/libruntime/runtime_test.cpp
@@ -370,6 +370,39 @@
     CHECK(currentAsOf.front() <= beforeChange);
 }
 
+// The cell's thread wrote these rows itself, so that no run was placed meanwhile.
+TEST_CASE("an owner commits while the inbox rows of ended jobs are being written")
+{
+    MemoryRows store;
+    Metrics metrics;
+    CellHost<MemoryRows> host(store, metrics, "svc", "vm-a-1", "1.1.1.1:1", DispatchLimits{});
+    REQUIRE(eventually([&] { return host.owns(); }));
+    const auto submit = [&](const std::string &id) {
+        return store.commit({{}, {cells::jobWrite("svc", job(id))}}, deadlineIn(2000)).ok();
+    };
+    const auto cancel = [&](const std::string &id) {
+        const RowTransaction change{{}, {{cells::cancelKey("svc", id), "{}", false}}};
+        return store.commit(change, deadlineIn(2000)).ok();
+    };
+    const auto isStored = [&](const std::string &id) {
+        return store.readOne(cells::stateKey("svc", id), deadlineIn(2000))->version != 0;
+    };
+    REQUIRE(submit("a"));
+    REQUIRE(submit("b"));
+    store.holdCommits(cells::jobKey("svc", "a"));
+    REQUIRE(cancel("a"));
+    REQUIRE(eventually([&] { return store.heldCommits() == 1; }));
+    CHECK(isStored("a"));
+    REQUIRE(cancel("b"));
+    CHECK(eventually([&] { return isStored("b"); }));
+    CHECK(store.heldCommits() == 1);
+    store.letCommitsGo();
+    CHECK(eventually([&] {
+        const auto row = store.readOne(cells::jobKey("svc", "a"), deadlineIn(2000));
+        return cells::isSettledJob(*row);
+    }));
+}
+
 // Guards against a run of a job whose cancellation is among the rows that the owner has received.
 TEST_CASE("an owner places no task between two rows of one answer of the store")
 {
--- a/src/testing/memory_rows.h
+++ b/src/testing/memory_rows.h
@@ -3,10 +3,12 @@
 
 #include "lavenderarch/storage/row_store.h"
 
+#include <algorithm>
 #include <condition_variable>
 #include <limits>
 #include <map>
 #include <mutex>
+#include <optional>
 
 namespace lavenderarch::testing {
 
@@ -38,6 +40,24 @@
         m_heldTable.clear();
         m_changed.notify_all();
     }
+    /// Commits that write the row wait, regardless of their deadline, until they are let go.
+    void holdCommits(const RowKey &key)
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_heldRow = key;
+    }
+    /// Commits that are waiting.
+    int heldCommits() const
+    {
+        const std::scoped_lock lock(m_mutex);
+        return m_heldCommits;
+    }
+    void letCommitsGo()
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_heldRow.reset();
+        m_changed.notify_all();
+    }
     /// Number of calls of readOne().
     int singleReads() const
     {
@@ -67,7 +87,10 @@
 
     StatusOr<RowCommit> commit(const RowTransaction &change, BootTime)
     {
-        const std::scoped_lock lock(m_mutex);
+        std::unique_lock lock(m_mutex);
+        ++m_heldCommits;
+        m_changed.wait(lock, [&] { return !m_heldRow || !writesRow(change, *m_heldRow); });
+        --m_heldCommits;
         if (m_fault == Fault::Refuse)
             return makeError(ErrorKind::StoreUnavailable, "refused");
         RowCommit result;
@@ -143,6 +166,12 @@
     /// Small, so that a few rows take several pages.
     static constexpr std::size_t pageRows = 3;
 
+    static bool writesRow(const RowTransaction &change, const RowKey &key)
+    {
+        return std::any_of(change.writes.begin(), change.writes.end(),
+                           [&](const RowWrite &write) { return write.key == key; });
+    }
+
     StatusOr<RowPage> readRows(const std::string &table, const std::string &partition,
                                const std::string &from, std::size_t limit, BootTime deadline)
     {
@@ -177,6 +206,8 @@
     int m_failingReads = 0;
     int m_singleReads = 0;
     std::string m_heldTable; // its partitions cannot be read
+    std::optional<RowKey> m_heldRow;
+    int m_heldCommits = 0;
     std::int64_t m_version = 0;
     std::int64_t m_oldestFollowable = 0;
     std::map<RowKey, Row> m_rows;
