--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -3,6 +3,7 @@
 
 #include "lavenderarch/dispatch/queue_catalog.h"
 #include "lavenderarch/runtime/cell_load.h"
+#include "lavenderarch/runtime/inbox_writer.h"
 #include "lavenderarch/runtime/owner_fence.h"
 #include "lavenderarch/runtime/row_follower.h"
 #include "lavenderarch/telemetry/cpu_time.h"
@@ -153,7 +154,8 @@
         if (state == State::Idle)
             m_dispatcher.reset();
         m_changed.notify_all();
-        wakeAgents(true);
+        for (const auto &[agent, waiter] : m_waiters)
+            waiter->notify_all();
     }
 
     Status notOwner() const
@@ -170,12 +172,12 @@
         return *waiter;
     }
 
-    /// Requires m_mutex. Wakes the blocked calls of agents that have orders, or all of them.
-    void wakeAgents(bool all)
+    /// Requires m_mutex. Wakes the blocked calls of agents that have got orders.
+    void wakeAgents()
     {
-        for (const auto &[agent, waiter] : m_waiters) {
-            if (all || m_dispatcher->hasOrders(agent))
-                waiter->notify_all();
+        for (const std::string &agent : m_dispatcher->takeAgentsToWake()) {
+            if (const auto waiter = m_waiters.find(agent); waiter != m_waiters.end())
+                waiter->second->notify_all();
         }
     }
 
@@ -210,9 +212,10 @@
             [this, reads = served.get_token()] { return reloadJobs(reads); },
             [this](const Row &row) { receiveJobRow(row); },
             [this](BootTime asOf) { applyJobRows(asOf); }, *inboxVersion);
-        serve(stop);
+        InboxWriter<Store> inboxWriter(m_store, m_cell);
+        serve(stop, inboxWriter);
         served.request_stop();
-        // Before the follower is destroyed, which may take as long as one of its calls.
+        // Before follower and writer are destroyed, which may take as long as one of their calls.
         const std::scoped_lock lock(m_mutex);
         setState(State::Idle);
     }
@@ -314,7 +317,7 @@
         m_work.notify_all();
     }
 
-    void serve(const std::stop_token &stop)
+    void serve(const std::stop_token &stop, InboxWriter<Store> &inboxWriter)
     {
         BootTime nextTick = BootClock::now();
         while (true) {
@@ -340,14 +343,14 @@
                 const BootTime placedAt = BootClock::now();
                 commit = prepareCommit(placedAt, m_dispatcher->canStartInTime(placedAt));
                 logEvents();
-                wakeAgents(false);
+                wakeAgents();
                 if (!commit && BootClock::now() < renewal)
                     continue;
             }
             if (!commitUntilStored(stop, commit ? *commit : CellCommit{}))
                 return;
             if (commit && !commit->inboxWrites.empty())
-                writeInbox(*commit);
+                inboxWriter.add(std::move(commit->inboxWrites));
         }
         m_fence.release();
     }
@@ -406,21 +409,10 @@
             return true;
         m_dispatcher->commitApplied(BootClock::now());
         m_workPending = m_workPending || !commit.writes.empty();
-        wakeAgents(false);
+        wakeAgents();
         return true;
     }
 
-    /// Shrinks the inbox rows of settled jobs and deletes those of expired ones. Rows for which
-    /// this fails stay until a later owner loads the cell and finds these jobs settled.
-    void writeInbox(const CellCommit &commit)
-    {
-        const RowTransaction change{{}, commit.inboxWrites};
-        const auto done = m_store.commit(change, BootClock::now() + ownershipCallTimeout);
-        if (!done.ok())
-            logFailure("cell", "cannot write the inbox rows of ended jobs", done.status(),
-                       {{"cell", m_cell}});
-    }
-
     /// Requires m_mutex.
     void logEvents()
     {
