Reject jobs that would come too late, and place tasks of overdue jobs

Cause: every job was accepted.

Change: entries measure, from the job states that they follow, how long a job waits until its first task starts, and answer 503 with Retry-After if a job would be done after twice its objective. A repeat of an accepted id stays 200. An old figure, or none, rejects nothing. Each placement pass places up to 15 tasks of overdue jobs first.

--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -141,6 +141,8 @@
     void stopStalledRuns(MinionView &view, BootTime now);
     void placeWaiting(BootTime now);
     void updateWaiting(JobModel &job);
+    void updateOverdueTime(JobModel &job);
+    int placeOverdue(BootTime now);
     int placeJob(JobModel &job, BootTime now, int budget);
     int placeStep(JobModel &job, JobModel::WaitingStep &waiting, BootTime now, int budget);
     int placeGang(JobModel &job, JobModel::WaitingStep &waiting, BootTime now);
@@ -174,6 +176,9 @@
     std::map<PlacementKey, JobModel *> m_waitingJobs;  // unfinished jobs with tasks to place
     std::map<PlacementKey, JobModel *> m_untriedJobs;  // those that changed since the last pass
     std::map<std::string, PlacementKey> m_waitingKeys; // keys in m_waitingJobs, by job
+    /// Unfinished jobs with an objective, by (priority, time when they are overdue, id). Some have
+    /// become final since.
+    std::set<std::tuple<int, BootTime, std::string>> m_overdueTimes;
     FailedSearches m_failedSearches;
     std::int64_t m_roomVersion = 1;                 // increases when a minion gains room
     std::int64_t m_triedRoomVersion = 0;            // in which all of m_waitingJobs have been tried
--- a/src/include/lavenderarch/dispatch/job_model.h
+++ b/src/include/lavenderarch/dispatch/job_model.h
@@ -61,6 +61,12 @@
     /// Estimated work of the tasks that are not done, in thousandths of a core times
     /// milliseconds, as of refresh(). Long-running tasks count as 0.
     std::int64_t remainingWork() const { return m_remainingWork; }
+    /// When the owner has read the job from the store.
+    BootTime loadedAt() const { return m_loadedAt; }
+    void setLoadedAt(BootTime time) { m_loadedAt = time; }
+    /// When the owner begins to place tasks of the job before those of smaller ones.
+    BootTime overdueAt() const { return m_overdueAt; }
+    void setOverdueAt(BootTime time) { m_overdueAt = time; }
     /// The steps with tasks to place, as of refresh().
     std::vector<WaitingStep> &waitingSteps() { return m_waitingSteps; }
     /// Groups of the steps in FailedSearches.
@@ -82,6 +88,8 @@
     bool m_cancelled = false;
     int m_active = 0; ///< tasks in Placed or Stopping, as of refresh()
     std::int64_t m_remainingWork = 0;
+    BootTime m_loadedAt{};
+    BootTime m_overdueAt = BootTime::max();
     std::vector<WaitingStep> m_waitingSteps;
     std::vector<int> m_searchGroups; ///< by step; empty until set
     std::map<int, Occurrence> m_occurrences;
--- a/src/include/lavenderarch/runtime/job_state_cache.h
+++ b/src/include/lavenderarch/runtime/job_state_cache.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "lavenderarch/dispatch/job_state_row.h"
+#include "lavenderarch/dispatch/queue_backlog.h"
 #include "lavenderarch/storage/row.h"
 
 #include <map>
@@ -24,6 +25,8 @@
     std::optional<JobStateRow> find(const std::string &job) const;
     /// Accepted jobs of the queue for which no task has started.
     std::int64_t pending(const std::string &queue) const;
+    /// By queue.
+    std::map<std::string, QueueBacklog> backlogs() const;
 
 private:
     struct Entry
@@ -37,8 +40,9 @@
     Jobs::iterator eraseLocked(Jobs::iterator job);
 
     mutable std::mutex m_mutex;
-    Jobs m_jobs;                                   // guarded by m_mutex
-    std::map<std::string, std::int64_t> m_pending; // by queue; guarded by m_mutex
+    Jobs m_jobs;                                    // guarded by m_mutex
+    std::map<std::string, std::int64_t> m_pending;  // by queue; guarded by m_mutex
+    std::map<std::string, QueueBacklog> m_backlogs; // by queue; guarded by m_mutex
 };
 
 } // namespace lavenderarch
--- a/src/libdispatch/cell_dispatcher.cpp
+++ b/src/libdispatch/cell_dispatcher.cpp
@@ -55,6 +55,8 @@
 void CellDispatcher::setCatalog(std::shared_ptr<const QueueCatalog> catalog)
 {
     m_catalog = std::move(catalog);
+    for (auto &[id, job] : m_jobs)
+        updateOverdueTime(job);
     m_placementDue = true;
 }
 
@@ -151,6 +153,8 @@
     for (const StepSpec &step : spec->steps)
         groups.push_back(m_failedSearches.groupOf(spec->service, step));
     job->second.setSearchGroups(std::move(groups));
+    job->second.setLoadedAt(now);
+    updateOverdueTime(job->second);
     m_unfinishedJobs.emplace(spec->priority, spec->acceptedMs, spec->id);
     updateWaiting(job->second);
     m_placementDue = true;
--- a/src/libdispatch/cell_dispatcher_placement.cpp
+++ b/src/libdispatch/cell_dispatcher_placement.cpp
@@ -78,7 +78,8 @@
 }
 
 /// Orders by priority, then by least remaining work. Under overload this lets the most jobs meet
-/// their objectives, and a job's value grows more slowly than its work.
+/// their objectives, and a job's value grows more slowly than its work. See placeOverdue() for jobs
+/// that are overtaken for long.
 void CellDispatcher::updateWaiting(JobModel &job)
 {
     const JobSpec &spec = job.spec();
@@ -100,7 +101,7 @@
     if (m_catalog == nullptr)
         return;
     ++m_placementCounts.passes;
-    int budget = maxPlacementsPerPass;
+    int budget = maxPlacementsPerPass - placeOverdue(now);
     // Where no minion has gained room, only jobs that have changed can be placed.
     const std::int64_t roomVersion = m_roomVersion;
     auto &jobs = roomVersion == m_triedRoomVersion ? m_untriedJobs : m_waitingJobs;
@@ -312,6 +313,7 @@
                                      {"searches", std::to_string(counts.searches - last.searches)},
                                      {"minions", std::to_string(counts.minions - last.minions)},
                                      {"placed", std::to_string(counts.placed - last.placed)},
+                                     {"overdue", std::to_string(counts.overdue - last.overdue)},
                                      {"unfinishedJobs", lengths}});
 }
 
--- a/src/libdispatch/simulated_cell.h
+++ b/src/libdispatch/simulated_cell.h
@@ -85,6 +85,7 @@
         return count;
     }
     CellDispatcher &owner() { return *m_owner; }
+    BootTime now() const { return m_now; }
     SimulatedMinion &minion(std::size_t index) { return m_agents.at(index)->minion; }
     int starts() const { return m_starts; }
     /// Names of tasks of which each run fails.
