--- a/src/libdispatch/simulated_agent.h
+++ b/src/libdispatch/simulated_agent.h
@@ -35,4 +35,15 @@
     std::int64_t sequence = 0;
 };
 
+/// A start order that its agent executes late.
+struct DelayedStart
+{
+    BootTime at{};
+    SimulatedAgent *agent = nullptr;
+    MinionIncarnation incarnation;
+    RunOrder order;
+    std::int64_t fence = 0;
+    std::int64_t untilMs = 0;
+};
+
 } // namespace lavenderarch::testing
--- a/src/libdispatch/simulated_cell.h
+++ b/src/libdispatch/simulated_cell.h
@@ -85,6 +85,7 @@
         return count;
     }
     CellDispatcher &owner() { return *m_owner; }
+    BootTime now() const { return m_now; }
     SimulatedMinion &minion(std::size_t index) { return m_agents.at(index)->minion; }
     int starts() const { return m_starts; }
     /// Names of tasks of which each run fails.
@@ -94,15 +95,6 @@
 
 private:
     using Agent = SimulatedAgent;
-    struct DelayedStart
-    {
-        BootTime at{};
-        Agent *agent = nullptr;
-        MinionIncarnation incarnation;
-        RunOrder order;
-        std::int64_t fence = 0;
-        std::int64_t untilMs = 0;
-    };
 
     bool chance(int oneIn) { return oneIn > 0 && m_random() % static_cast<unsigned>(oneIn) == 0; }
     Milliseconds randomDuration(int minMs, int maxMs)
