Examine runs for stalls and slow paces only when one may be due

Cause: each tick, four times a second, located every run by its name to compare its progress with the limits.

Change: each minion keeps the earliest time at which one of its runs may count as stalled, and one for moves of slowed runs.

Failing before (without the two early returns; 60 runs, 12 s): CHECK( after.stallChecks - before.stallChecks <= 60 * seconds / 2 ) values: 2880 <= 360 CHECK( after.slowChecks - before.slowChecks <= 20 * seconds ) values: 960 <= 240

--- a/src/include/lavenderarch/dispatch/minion_view.h
+++ b/src/include/lavenderarch/dispatch/minion_view.h
@@ -50,6 +50,8 @@
     std::int64_t headroomVersion = 0;
     bool tailTargetExceeded = false; ///< a serving run exceeds its tail latency target
     BootTime nextObservation{};      ///< earliest time of the next model update
+    BootTime nextStallCheck{};       ///< no run counts as stalled before this time
+    BootTime nextSlowCheck{};        ///< no slowed run is to be moved before this time
     bool weightsDue = false;         ///< the next reply carries weights of the tail model
 
     std::map<std::string, BootTime> failedJobs; ///< time of the last recent failure here, by job
--- a/src/libdispatch/cell_dispatcher_watch.cpp
+++ b/src/libdispatch/cell_dispatcher_watch.cpp
@@ -76,11 +76,19 @@
 
 void CellDispatcher::moveSlowedRuns(MinionView &view, BootTime now)
 {
+    if (now < view.nextSlowCheck)
+        return;
+    // No run that becomes slow from now on is to be moved before that.
+    view.nextSlowCheck = now + slowedMoveDelay;
     for (const auto &[run, bestEffort] : view.bestEffort) {
+        ++m_upkeepCounts.slowChecks;
         const auto [job, task] = locate(run.task);
         if (task == nullptr || task->phase != TaskPhase::Placed || task->startOrder < 0 ||
-            task->slowedAt == BootTime{} || now - task->slowedAt < slowedMoveDelay ||
-            task->moves >= maxMoves)
+            task->slowedAt == BootTime{} || task->moves >= maxMoves)
+            continue;
+        const BootTime moveAt = task->slowedAt + slowedMoveDelay;
+        view.nextSlowCheck = std::min(view.nextSlowCheck, moveAt);
+        if (now < moveAt)
             continue;
         const auto &step = stepOf(*job, run);
         if (!step.checkpointing && task->progressPercent > maxDiscardedProgress)
@@ -109,14 +117,24 @@
 
 void CellDispatcher::stopStalledRuns(MinionView &view, BootTime now)
 {
+    if (now < view.nextStallCheck)
+        return;
+    // No run that starts or progresses from now on counts as stalled before that.
+    view.nextStallCheck = now + stallTimeout;
     for (const RunKey &run : view.runs) {
+        ++m_upkeepCounts.stallChecks;
         const auto [job, task] = locate(run.task);
         if (task == nullptr || task->phase != TaskPhase::Placed || task->startOrder < 0)
             continue;
         const auto &step = stepOf(*job, run);
         const auto limit = step.bestEffort ? bestEffortStallTimeout : stallTimeout;
-        if (step.longRunning || step.gang || now - task->progressAt < limit)
+        if (step.longRunning || step.gang)
+            continue;
+        const BootTime stalledAt = task->progressAt + limit;
+        if (now < stalledAt) {
+            view.nextStallCheck = std::min(view.nextStallCheck, stalledAt);
             continue;
+        }
         recordEvent("run is stalled; stopping it",
                     {{"task", run.task},
                      {"run", std::to_string(run.number)},
--- a/src/libdispatch/loaded_cell.h
+++ b/src/libdispatch/loaded_cell.h
@@ -75,8 +75,9 @@
         m_owner.takeEvents();
     }
 
-    /// Lets the minion report all its runs. Serving tasks have a tail latency of `tailMs`.
-    void report(std::size_t index, std::vector<RunEnd> ends = {}, int tailMs = 2)
+    /// Lets the minion report all its runs. Serving tasks have a tail latency of `tailMs`; the
+    /// others have done `percent` of their work.
+    void report(std::size_t index, std::vector<RunEnd> ends = {}, int tailMs = 2, int percent = 50)
     {
         Minion &minion = m_minions[index];
         ExchangeRequest request;
@@ -97,7 +98,7 @@
                     continue;
                 RunReport &runReport = request.runs.emplace_back();
                 runReport.run = run;
-                runReport.progressPercent = minion.serving.count(run) != 0 ? 100 : 50;
+                runReport.progressPercent = minion.serving.count(run) != 0 ? 100 : percent;
                 runReport.load = minion.serving.count(run) != 0 ? tailMs : 500;
             }
             request.orderSeen = view->second.nextOrder - 1;
--- a/src/libdispatch/upkeep_test.cpp
+++ b/src/libdispatch/upkeep_test.cpp
@@ -89,6 +89,29 @@
     CHECK(commit->writes.size() == jobs);
 }
 
+// Each tick, four times a second, located all runs.
+TEST_CASE("runs are examined for stalls and slow paces only when one may be due")
+{
+    LoadedCell cell(4);
+    cell.submit(40, Resources(500, 100, 0));
+    cell.submit(20, Resources(500, 100, 0), -1);
+    cell.settle();
+    REQUIRE(cell.activeRuns() == 60);
+    cell.tick();
+    const UpkeepCounts before = cell.owner().upkeepCounts();
+    constexpr int seconds = 12;
+    for (int quarter = 0; quarter < 4 * seconds; ++quarter) {
+        cell.advance(Milliseconds(250));
+        for (std::size_t index = 0; index < 4; ++index)
+            cell.report(index, {}, 2, quarter); // all runs progress
+        cell.tick();
+    }
+    CHECK(cell.activeRuns() == 60);
+    const UpkeepCounts &after = cell.owner().upkeepCounts();
+    CHECK(after.stallChecks - before.stallChecks <= 60 * seconds / 2);
+    CHECK(after.slowChecks - before.slowChecks <= 20 * seconds);
+}
+
 TEST_CASE("settled jobs expire in the order in which they ended, a few with each commit")
 {
     LoadedCell cell = cellWithHistory(30);
