Place tasks of a step in groups, and log each group once

Cause: an owner examined all minions anew for each task and spread the tasks of a step over as many minions, so that each run cost a search, an exchange of its own for its order and one for its end.

Change: after a search, further waiting tasks of the step go to the same minion, eight at most, while it is eligible and can run them at full pace: for regular tasks the processors neither reserved nor used by best-effort tasks at full pace suffice; for best-effort tasks the expected pace is full and no tail target is exceeded. Not for gangs, serving and long-running tasks, steps with maxPerMinion, minions with a recent failure or that are avoided, and a task that failed there. `run placed` becomes `runs placed`, one line a group, with task#run of each run, so that a search for an id finds the same lines.

Tests that failed before:

tasks of a step share idle minions, with one search for each group ERROR: CHECK( 2 2 2 2 2 2 1 1 1 1 == 8 8 ) ERROR: CHECK( 16 == 2 ) best-effort tasks share a minion while their expected pace there is full ERROR: CHECK( 1 1 1 1 1 1 1 1 == 8 ) ERROR: CHECK( 1 1 1 1 1 1 1 1 == 2 2 2 2 ) tasks share a minion only while its unused processors suffice ERROR: CHECK( 2 2 2 2 2 2 1 1 1 1 == 4 4 1 1 1 1 1 1 1 1 ) a pass logs the placements of a group together FATAL ERROR: REQUIRE( 0 == 2 ) members of a gang on one minion are logged together FATAL ERROR: REQUIRE( 0 == 1 )

--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -144,7 +144,9 @@
     int placeJob(JobModel &job, BootTime now, int budget);
     int placeStep(JobModel &job, JobModel::WaitingStep &waiting, BootTime now, int budget);
     int placeGang(JobModel &job, JobModel::WaitingStep &waiting, BootTime now);
-    void place(JobModel &job, const TaskName &name, MinionView &view, BootTime now);
+    RunKey place(JobModel &job, const TaskName &name, MinionView &view, BootTime now);
+    /// Logs that `runs` have been placed on the minion.
+    void recordPlaced(const MinionView &view, const std::vector<RunKey> &runs, BootTime now);
     MinionView *selectMinion(const JobModel &job, const JobModel::WaitingStep &waiting,
                              const TaskState &task, BootTime now, bool idleJob = false,
                              bool remember = true);
--- a/src/libdispatch/cell_dispatcher_placement.cpp
+++ b/src/libdispatch/cell_dispatcher_placement.cpp
@@ -11,6 +11,9 @@
 
 /// Maximum number of tasks placed in one pass, which bounds the CPU time spent before a commit.
 constexpr int maxPlacementsPerPass = 120;
+/// Maximum number of tasks that are placed on a minion after one search. An agent starts them one
+/// after the other, so that the last of a larger group would start late.
+constexpr std::size_t maxGroupSize = 8;
 /// Minimum time between two log lines about the work of placement.
 constexpr Milliseconds reportInterval{1000};
 /// Value of TaskState::startOrder while the start waits for its commit.
@@ -142,20 +145,31 @@
     if (job.spec().steps[step].gang)
         return placeGang(job, waiting, now);
     int placed = 0;
+    MinionView *view = nullptr;
+    std::vector<RunKey> group; // runs placed on `view` since it was selected
     auto &tasks = job.occurrences().at(occurrence)[step];
     for (std::size_t index = 0; index < tasks.size() && placed < budget; ++index) {
         if (tasks[index].phase != TaskPhase::Waiting)
             continue;
-        const bool idle = job.activeRuns() == 0 && placed == 0;
-        MinionView *view = selectMinion(job, waiting, tasks[index], now, idle);
-        if (view == nullptr) {
-            waiting.failedAt = m_roomVersion;
-            return placed;
+        const PlacementRequest request{&job.spec(),   &job.spec().steps[step],
+                                       &tasks[index], &m_closedDataCentres,
+                                       &m_tailModel,  false};
+        if (view == nullptr || group.size() >= maxGroupSize || !suitsGroup(*view, request, now)) {
+            if (view != nullptr)
+                recordPlaced(*view, std::exchange(group, {}), now);
+            const bool idle = job.activeRuns() == 0 && placed == 0;
+            view = selectMinion(job, waiting, tasks[index], now, idle);
+            if (view == nullptr) {
+                waiting.failedAt = m_roomVersion;
+                return placed;
+            }
         }
-        place(job, job.name(occurrence, static_cast<int>(step), static_cast<int>(index)), *view,
-              now);
+        const TaskName name = job.name(occurrence, static_cast<int>(step), static_cast<int>(index));
+        group.push_back(place(job, name, *view, now));
         ++placed;
     }
+    if (view != nullptr)
+        recordPlaced(*view, group, now);
     return placed;
 }
 
@@ -195,14 +209,17 @@
         members.emplace_back(name, view);
     }
     const bool complete = members.size() == tasks.size();
+    std::map<std::string, std::vector<RunKey>> groups; // by agent
     for (const auto &[name, view] : members) {
         TaskState &task = tasks[static_cast<std::size_t>(name.index)];
         task.phase = TaskPhase::Waiting;
         task.agent.clear();
         detach(*view, job.spec().steps[step], {name.text(), run + 1});
         if (complete)
-            place(job, name, *view, now);
+            groups[view->agent].push_back(place(job, name, *view, now));
     }
+    for (const auto &[agent, runs] : groups)
+        recordPlaced(m_minions.at(agent), runs, now);
     if (complete)
         return static_cast<int>(members.size());
     waitingStep.failedAt = m_roomVersion;
@@ -256,7 +273,7 @@
     return best;
 }
 
-void CellDispatcher::place(JobModel &job, const TaskName &name, MinionView &view, BootTime now)
+RunKey CellDispatcher::place(JobModel &job, const TaskName &name, MinionView &view, BootTime now)
 {
     TaskState &task = *job.find(name);
     const StepSpec &step = job.step(name);
@@ -276,14 +293,23 @@
     order.checkpoint = task.checkpoint;
     attach(view, step, order.run);
     ++m_placementCounts.placed;
-    recordEvent("run placed", {{"task", order.run.task},
-                               {"run", std::to_string(task.run)},
-                               {"agent", view.agent},
-                               {"minion", task.incarnation.id},
-                               {"heardMsAgo", std::to_string((now - view.lastHeard).count())},
-                               {"inboxAgeMs", std::to_string((now - m_inboxTime).count())},
-                               {"catalogVersion", std::to_string(m_catalog->version)}});
+    RunKey run = order.run;
     m_staged[job.spec().id].orders.emplace_back(view.agent, std::move(order));
+    return run;
+}
+
+void CellDispatcher::recordPlaced(const MinionView &view, const std::vector<RunKey> &runs,
+                                  BootTime now)
+{
+    std::string list;
+    for (const RunKey &run : runs)
+        list += (list.empty() ? "" : " ") + run.task + "#" + std::to_string(run.number);
+    recordEvent("runs placed", {{"runs", list},
+                                {"agent", view.agent},
+                                {"minion", view.facts.incarnation.id},
+                                {"heardMsAgo", std::to_string((now - view.lastHeard).count())},
+                                {"inboxAgeMs", std::to_string((now - m_inboxTime).count())},
+                                {"catalogVersion", std::to_string(m_catalog->version)}});
 }
 
 /// Logs the work of placement since the last report and the unfinished jobs of each queue.
--- a/src/libdispatch/placement.cpp
+++ b/src/libdispatch/placement.cpp
@@ -215,4 +215,18 @@
     return score;
 }
 
+bool suitsGroup(const MinionView &view, const PlacementRequest &request, BootTime now)
+{
+    const StepSpec &step = *request.step;
+    // Long-running tasks share few messages, and a failure of the minion would end all of them.
+    if (step.gang || step.maxPerMinion > 0 || step.longRunning || step.tailTargetMs > 0)
+        return false;
+    if (view.avoidUntil > now || !view.failedJobs.empty() ||
+        request.task->failedAgent == view.agent || !isEligible(view, request, now))
+        return false;
+    if (step.bestEffort)
+        return !view.tailTargetExceeded && expectedPace(view, step, *request.tailModel) >= 1;
+    return unreservedMilliCores(view) - bestEffortMilliCores(view) >= step.demand.milliCores();
+}
+
 } // namespace lavenderarch
