Examine only the oldest settled jobs when preparing a commit

Cause: prepareCommit() looked through all settled jobs for expired ones, each time an owner wakes.

Change: settled jobs are also kept in the order of their ends, and the search stops at the first one that has not expired. What expires, and when, is as before; settled_jobs_test.cpp covers it.

--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -157,6 +157,7 @@
     void releaseStaged(const Staged &staged, BootTime now);
     void expireEndedJobs(BootTime now);
     void settle(const std::string &id, BootTime now);
+    bool recordEnded(const std::string &id, BootTime now);
     bool shrinkDue(BootTime now) const;
     /// Adds writes that remove the specifications of settled jobs, which make a takeover read much.
     void addShrunkRows(CellCommit &commit, BootTime now);
@@ -187,6 +188,7 @@
     std::map<std::string, Staged> m_staged;         // by job
     std::map<std::string, JobPhase> m_storedPhases; // phase in the state row; absent: Queued
     std::map<std::string, BootTime> m_endedAt;      // settled jobs, by id
+    std::deque<std::string> m_expiring;             // the same jobs, in order of their ends
     std::deque<std::string> m_unshrunkJobs;         // settled jobs with a stored specification
     BootTime m_nextShrink{};                        // earliest time of the next writes of them
     std::vector<std::string> m_expiredJobs;         // jobs whose rows are to be deleted
--- a/src/libdispatch/cell_dispatcher.cpp
+++ b/src/libdispatch/cell_dispatcher.cpp
@@ -71,7 +71,7 @@
 {
     for (const Row &row : progress) {
         if (JobModel::isSettled(row.value))
-            m_endedAt[row.key.key] = now;
+            recordEnded(row.key.key, now);
     }
     for (const Row &row : jobs) {
         if (cells::cancelledJob(row.key))
@@ -137,7 +137,7 @@
         return;
     // The job expired, but its row could not be removed.
     if (cells::isSettledJob(row)) {
-        m_endedAt[row.key.key] = now;
+        recordEnded(row.key.key, now);
         return;
     }
     const auto spec = parseAs<JobSpec>(row.value, "job row " + row.key.key);
@@ -293,10 +293,19 @@
 
 void CellDispatcher::settle(const std::string &id, BootTime now)
 {
-    if (m_endedAt.try_emplace(id, now).second)
+    if (recordEnded(id, now))
         m_unshrunkJobs.push_back(id);
 }
 
+/// Returns false if the job is already known to have ended.
+bool CellDispatcher::recordEnded(const std::string &id, BootTime now)
+{
+    const bool added = m_endedAt.try_emplace(id, now).second;
+    if (added)
+        m_expiring.push_back(id);
+    return added;
+}
+
 bool CellDispatcher::shrinkDue(BootTime now) const
 {
     return !m_unshrunkJobs.empty() && now >= m_nextShrink;
@@ -317,16 +326,15 @@
 
 void CellDispatcher::expireEndedJobs(BootTime now)
 {
-    for (auto ended = m_endedAt.begin();
-         ended != m_endedAt.end() && m_expiredJobs.size() < maxExpiredPerCommit;) {
-        if (now - ended->second < Milliseconds(m_limits.retentionMs)) {
-            ++ended;
-            continue;
-        }
+    while (!m_expiring.empty() && m_expiredJobs.size() < maxExpiredPerCommit) {
+        const auto ended = m_endedAt.find(m_expiring.front());
+        if (now - ended->second < Milliseconds(m_limits.retentionMs))
+            return;
         m_expiredJobs.push_back(ended->first);
         m_jobs.erase(ended->first);
         m_storedPhases.erase(ended->first);
-        ended = m_endedAt.erase(ended);
+        m_endedAt.erase(ended);
+        m_expiring.pop_front();
     }
 }
 
--- a/src/libdispatch/dispatch_bench.cpp
+++ b/src/libdispatch/dispatch_bench.cpp
@@ -85,6 +85,20 @@
     ->Iterations(200)
     ->Unit(benchmark::kMicrosecond);
 
+/// A commit without changes beside jobs that have ended and whose rows are kept for a while.
+void commitBesideSettledJobs(benchmark::State &state)
+{
+    LoadedCell cell(1);
+    cell.settle();
+    for (std::int64_t job = 0; job < state.range(0); ++job) {
+        const RowWrite write = cells::settledJobWrite("svc", "job-" + std::to_string(job));
+        cell.owner().applyJobRow({write.key, write.value, 1, false}, cell.now());
+    }
+    for (auto _ : state)
+        benchmark::DoNotOptimize(cell.owner().prepareCommit(cell.now()));
+}
+BENCHMARK(commitBesideSettledJobs)->ArgName("settled")->Arg(100)->Arg(1000)->Arg(10'000);
+
 } // namespace
 
 BENCHMARK_MAIN();
