Place groups also where best-effort tasks keep their expected pace

Test that failed before:

tasks share a minion only while its unused processors suffice best-effort tasks use some and keep their expected pace ERROR: CHECK( 4 2 1 1 1 1 1 1 1 1 == 5 1 1 1 1 1 1 1 1 1 )

--- a/src/libdispatch/placement.cpp
+++ b/src/libdispatch/placement.cpp
@@ -226,7 +226,10 @@
         return false;
     if (step.bestEffort)
         return !view.tailTargetExceeded && expectedPace(view, step, *request.tailModel) >= 1;
-    return unreservedMilliCores(view) - bestEffortMilliCores(view) >= step.demand.milliCores();
+    const Resources reserved = committedResources(view) + step.demand;
+    return peakUsedShare * static_cast<double>(reserved.milliCores()) +
+               static_cast<double>(bestEffortMilliCores(view)) <=
+           static_cast<double>(view.facts.capacity.milliCores());
 }
 
 } // namespace lavenderarch
--- a/src/libdispatch/placement.h
+++ b/src/libdispatch/placement.h
@@ -59,8 +59,9 @@
                                      BootTime now);
 
 /// True when the minion, which was chosen for another task of the same step, suits the task of
-/// `request` without a comparison with other minions: it may run the task at full pace, and no
-/// constraint or recent failure speaks against several tasks of the step there.
+/// `request` without a comparison with other minions: it may run the task, all best-effort tasks
+/// there are expected to keep their full pace, and no constraint or recent failure speaks against
+/// several tasks of the step there.
 bool suitsGroup(const MinionView &view, const PlacementRequest &request, BootTime now);
 
 } // namespace lavenderarch
