Hand a cell over with its rows read ahead and its starts delivered

One other entry registers as its successor (row `successor` of the owner's partition), reads the rows ahead and keeps them current; after its takeover it reads the changes only. Others leave a released cell to it for 500 ms. A release first stops placement and waits at most 600 ms until agents have confirmed the starts that are stored. Polls of a released cell are held until the next owner is known, so that the agents' look-up finds it.

Ruled out: a release right after the signal, since the cell would go to an entry that is stopped next in the same roll; the choice of the successor in the owner row itself, since another writer of that row would fence off its owner.

--- a/src/include/lavenderarch/dispatch/cell_tables.h
+++ b/src/include/lavenderarch/dispatch/cell_tables.h
@@ -17,6 +17,7 @@
 inline constexpr const char *tailsKey = "tails";
 inline constexpr const char *ownerTable = "lav-owner";
 inline constexpr const char *ownerKey = "owner";
+inline constexpr const char *successorKey = "successor";
 
 /// Partition that entries write to. It is separate from the cell's own partition, so that the
 /// owner's commits never wait behind job acceptances.
@@ -32,6 +33,7 @@
 RowKey stateKey(const std::string &cell, const std::string &job);
 RowKey progressKey(const std::string &cell, const std::string &job);
 RowKey ownerRowKey(const std::string &cell);
+RowKey successorRowKey(const std::string &cell);
 
 RowWrite jobWrite(const std::string &cell, const JobSpec &job);
 /// Replaces the specification of a settled job, whose row stays so that a repeated submission finds
--- a/src/include/lavenderarch/dispatch/owner_record.h
+++ b/src/include/lavenderarch/dispatch/owner_record.h
@@ -15,10 +15,11 @@
     std::int64_t sequence = 0; ///< number of writes in this epoch
     std::string mark;
     bool released = false; ///< the owner has stopped, so the cell may be taken over at once
+    bool leaving = false;  ///< the owner will release the cell soon; its rows may be read ahead
 
     friend bool operator==(const OwnerRecord &, const OwnerRecord &) = default;
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(OwnerRecord, owner, address, epoch, sequence, mark,
-                                                released)
+                                                released, leaving)
 };
 
 } // namespace lavenderarch
--- a/src/include/lavenderarch/dispatch/ownership_watch.h
+++ b/src/include/lavenderarch/dispatch/ownership_watch.h
@@ -18,6 +18,9 @@
 inline constexpr Milliseconds renewalInterval{600};
 /// Time between two reads of a watched row.
 inline constexpr Milliseconds watchInterval{400};
+/// Time for which a released cell is left to the process that has read it ahead, which reads the
+/// owner row more often than others.
+inline constexpr Milliseconds successorHeadStart{500};
 
 /// A state machine without sockets, threads or clocks. Not thread-safe.
 class OwnershipWatch
@@ -42,6 +45,12 @@
     /// as a failure of the owner.
     void readFailed();
 
+    /// Epoch of the owner if it was leaving at the last call of observe(), for long enough that
+    /// this process may register as its successor; otherwise 0.
+    std::int64_t epochToReadAhead(BootTime now) const;
+    /// The successor of the owner of `epoch` is this process, or another one.
+    void setSuccessor(std::int64_t epoch, bool thisProcess);
+
     /// Reason and age of the owner row's version, as of the last call of observe() that returned
     /// true.
     Reason reason() const { return m_reason; }
@@ -49,12 +58,19 @@
 
 private:
     bool isPreviousProcess(const OwnerRecord &record) const;
+    /// Time for which this process lets others go first.
+    Milliseconds remoteDelay() const;
+    Milliseconds releasedDelay(const OwnerRecord &record) const;
 
     std::string m_process;
     std::int64_t m_version = -1; // as last read; -1 before the first read
     BootTime m_since{};          // when that version was first read
     int m_reads = 0;             // consecutive reads of that version
     Milliseconds m_fastestRead{1'000'000};
+    std::int64_t m_leavingEpoch = 0; // of an owner that is leaving; 0: it is not
+    BootTime m_leavingSince{};       // when that was first read
+    std::int64_t m_successorEpoch = 0;
+    bool m_isSuccessor = false;
     Reason m_reason = Reason::NoOwner;
     Milliseconds m_unchangedFor{0};
 };
--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -2,8 +2,11 @@
 #pragma once
 
 #include "lavenderarch/dispatch/queue_catalog.h"
+#include "lavenderarch/runtime/agent_waiters.h"
 #include "lavenderarch/runtime/cell_load.h"
+#include "lavenderarch/runtime/cell_successor.h"
 #include "lavenderarch/runtime/owner_fence.h"
+#include "lavenderarch/runtime/placement_metrics.h"
 #include "lavenderarch/runtime/row_follower.h"
 #include "lavenderarch/telemetry/cpu_time.h"
 #include "lavenderarch/telemetry/metrics.h"
@@ -19,6 +22,10 @@
 inline constexpr Milliseconds tickInterval{250};
 /// Time for which a process does not claim a cell that it could not load.
 inline constexpr Milliseconds claimPause{5000};
+/// Longest wait of a release for agents to confirm their starts; polls are nearly always open.
+inline constexpr Milliseconds startDeliveryTime{600};
+/// Agents heard in this time count as reachable during a release.
+inline constexpr Milliseconds deliveryHeardTime{1500};
 
 /// Competes for the cell on a thread of its own until destruction. Does not own the store or the
 /// metrics, which must outlive it. Thread-safe: m_mutex is the only lock, and no call to the store
@@ -36,6 +43,7 @@
         , m_limits(limits)
         , m_loadTimeout(loadTimeout)
         , m_fence(store, metrics, m_cell, m_owner, std::move(address))
+        , m_successor(store, m_cell, m_owner)
         , m_thread([this](const std::stop_token &stop) { run(stop); })
     {
     }
@@ -50,14 +58,27 @@
     /// Stops takeovers. A cell that is owned already stays owned.
     void stopClaiming() { m_claiming = false; }
 
-    /// Marks the cell as released, so that another process can take it over at once, and stops
-    /// takeovers. Waits for a limited time until this process has stopped acting as the owner.
-    void release()
+    /// Tells the other processes that the cell will be released; one of them reads it ahead.
+    void announceRelease() { m_leaving = true; }
+
+    /// Stops takeovers and placement, waits until the agents have the committed starts, and marks
+    /// the cell as released, so that another process can take it over at once. Returns immediately.
+    void startRelease()
     {
-        std::unique_lock lock(m_mutex);
-        m_releasing = true;
+        const std::scoped_lock lock(m_mutex);
+        m_claiming = false;
+        m_releaseBy = std::min(m_releaseBy.load(), BootClock::now() + startDeliveryTime);
+        m_releasing = m_releasing || m_state != State::Serving;
         m_work.notify_all();
-        m_changed.wait_for(lock, ownershipCallTimeout * 2, [&] { return m_state == State::Idle; });
+    }
+
+    /// The same, and waits until this process has stopped acting as the owner or `deadline` passes.
+    void release(BootTime deadline = BootClock::now() + startDeliveryTime + ownershipCallTimeout)
+    {
+        startRelease();
+        std::unique_lock lock(m_mutex);
+        while (m_state != State::Idle && BootClock::now() < deadline)
+            m_changed.wait_for(lock, deadline - BootClock::now());
     }
 
     void setCatalog(std::shared_ptr<const QueueCatalog> catalog)
@@ -102,12 +123,12 @@
             m_changed.wait_for(lock, until - BootClock::now());
         // An owner that could not renew rejects agents, as another process may have taken over.
         if (m_state == State::Idle || request.epoch > m_epoch || !ownershipValid())
-            return notOwner();
+            return reject(lock, until);
         if (m_state == State::Loading)
             return loadingReply(request);
         const std::int64_t epoch = m_epoch;
         m_dispatcher->handleRequest(request, BootClock::now(), ownershipValid());
-        if (m_dispatcher->hasWork()) {
+        if (m_dispatcher->hasWork() || releasing()) {
             m_workPending = true;
             m_work.notify_all();
         }
@@ -116,10 +137,10 @@
             const BootTime now = BootClock::now();
             if (now >= until || m_releasing)
                 break;
-            waiterOf(request.agent).wait_for(lock, until - now);
+            m_waiters.wait(request.agent, lock, until - now);
         }
-        if (m_dispatcher == nullptr || m_epoch != epoch)
-            return notOwner();
+        if (m_dispatcher == nullptr || m_epoch != epoch || m_releasing)
+            return reject(lock, until);
         return m_dispatcher->reply(request.agent, arrived, ownershipValid());
     }
 
@@ -156,27 +177,20 @@
         wakeAgents(true);
     }
 
-    Status notOwner() const
-    {
-        return makeError(ErrorKind::StaleCommand, "this process does not own cell " + m_cell);
-    }
+    bool releasing() const { return m_releaseBy.load() != BootTime::max(); }
 
-    /// Requires m_mutex.
-    std::condition_variable &waiterOf(const std::string &agent)
+    /// Holds a poll of a released cell until the agent can look up the next owner.
+    Status reject(std::unique_lock<std::mutex> &lock, BootTime until)
     {
-        auto &waiter = m_waiters[agent];
-        if (waiter == nullptr)
-            waiter = std::make_unique<std::condition_variable>();
-        return *waiter;
+        while (m_awaitingSuccessor && BootClock::now() < until)
+            m_changed.wait_for(lock, until - BootClock::now());
+        return makeError(ErrorKind::StaleCommand, "this process does not own cell " + m_cell);
     }
 
     /// Requires m_mutex. Wakes the blocked calls of agents that have orders, or all of them.
     void wakeAgents(bool all)
     {
-        for (const auto &[agent, waiter] : m_waiters) {
-            if (all || m_dispatcher->hasOrders(agent))
-                waiter->notify_all();
-        }
+        m_waiters.wake([&](const auto &agent) { return all || m_dispatcher->hasOrders(agent); });
     }
 
     /// Requires m_mutex. False while releasing, or when another process may have taken over.
@@ -189,14 +203,29 @@
     {
         OwnershipWatch watch(m_owner);
         while (!stop.stop_requested()) {
-            if (!m_releasing && m_claiming && m_fence.claimable(watch) &&
-                BootClock::now() >= m_claimAfter && m_fence.claim(watch))
+            if (m_awaitingSuccessor)
+                findSuccessor();
+            else if (m_claiming && m_fence.claimable(watch) && BootClock::now() >= m_claimAfter &&
+                     m_fence.claim(watch))
                 loadAndServe(stop);
+            else if (m_claiming)
+                m_successor.prepare(watch, stop);
+            const auto pause = m_awaitingSuccessor ? handoverInterval : m_successor.interval();
             std::unique_lock lock(m_mutex);
-            m_work.wait_for(lock, watchInterval, [&] { return stop.stop_requested(); });
+            m_work.wait_for(lock, pause, [&] { return stop.stop_requested(); });
         }
     }
 
+    /// Lets the polls of a released cell go once another process owns it.
+    void findSuccessor()
+    {
+        if (!m_fence.succeeded())
+            return;
+        const std::scoped_lock lock(m_mutex);
+        m_awaitingSuccessor = false;
+        m_changed.notify_all();
+    }
+
     /// Loads the cell and acts as its owner until another process takes it over or it is released.
     void loadAndServe(const std::stop_token &stop)
     {
@@ -205,16 +234,20 @@
             return;
         std::stop_source served;
         m_inboxRows.clear();
-        RowFollower<Store> follower(
+        m_follower = std::make_unique<RowFollower<Store>>(
             m_store, cells::jobTable,
             [this, reads = served.get_token()] { return reloadJobs(reads); },
             [this](const Row &row) { receiveJobRow(row); },
             [this](BootTime asOf) { applyJobRows(asOf); }, *inboxVersion);
         serve(stop);
         served.request_stop();
-        // Before the follower is destroyed, which may take as long as one of its calls.
-        const std::scoped_lock lock(m_mutex);
+        std::unique_lock lock(m_mutex);
         setState(State::Idle);
+        lock.unlock();
+        // Its destruction may take as long as one of its calls, in which a released cell is taken
+        // over by another process.
+        if (!m_releasing)
+            m_follower.reset();
     }
 
     /// Loads the cell on a thread of its own while this one renews the ownership, as a load may
@@ -230,7 +263,8 @@
         std::optional<StatusOr<CellLoad>> load; // guarded by m_mutex
         const BootTime deadline = BootClock::now() + m_loadTimeout;
         const std::jthread loader([&, epoch = m_epoch](const std::stop_token &loadStop) {
-            auto result = loadCell(m_store, m_metrics, m_cell, m_limits, epoch, deadline, loadStop);
+            auto result = loadCell(m_store, m_metrics, m_cell, m_limits, epoch,
+                                   m_successor.takeRows(), deadline, loadStop);
             const std::scoped_lock lock(m_mutex);
             load.emplace(std::move(result));
             m_work.notify_all();
@@ -329,6 +363,8 @@
                         return m_workPending || m_releasing || stop.stop_requested();
                     });
                 m_workPending = false;
+                m_releasing = m_releasing || readyToRelease();
+                m_awaitingSuccessor = m_releasing.load();
                 if (stop.stop_requested() || m_releasing)
                     break;
                 if (BootClock::now() >= nextTick) {
@@ -338,12 +374,15 @@
                     nextTick = BootClock::now() + tickInterval;
                 }
                 const BootTime placedAt = BootClock::now();
-                commit = prepareCommit(placedAt, m_dispatcher->canStartInTime(placedAt));
+                commit =
+                    prepareCommit(placedAt, !releasing() && m_dispatcher->canStartInTime(placedAt));
                 logEvents();
                 wakeAgents(false);
                 if (!commit && BootClock::now() < renewal)
                     continue;
             }
+            if (m_leaving)
+                m_fence.announceRelease();
             if (!commitUntilStored(stop, commit ? *commit : CellCommit{}))
                 return;
             if (commit && !commit->inboxWrites.empty())
@@ -352,6 +391,14 @@
         m_fence.release();
     }
 
+    /// Requires m_mutex and a dispatcher.
+    bool readyToRelease() const
+    {
+        const BootTime now = BootClock::now();
+        return releasing() && (now >= m_releaseBy.load() ||
+                               !m_dispatcher->hasUndeliveredStarts(now - deliveryHeardTime));
+    }
+
     /// Requires m_mutex. Records how long the dispatcher takes and what its placement does.
     std::optional<CellCommit> prepareCommit(BootTime now, bool mayPlace)
     {
@@ -359,18 +406,8 @@
         const auto started = std::chrono::steady_clock::now();
         auto commit = m_dispatcher->prepareCommit(now, mayPlace);
         const std::chrono::duration<double> seconds = std::chrono::steady_clock::now() - started;
-        const PlacementCounts &after = m_dispatcher->placementCounts();
         m_metrics.observeSeconds("lavender_prepare_commit_seconds", seconds.count());
-        if (after == before)
-            return commit;
-        const auto count = [this](const char *name, std::int64_t amount) {
-            m_metrics.increment(name, {}, static_cast<double>(amount));
-        };
-        count("lavender_placement_passes", after.passes - before.passes);
-        count("lavender_placement_jobs", after.jobs - before.jobs);
-        count("lavender_placement_searches", after.searches - before.searches);
-        count("lavender_placement_minions", after.minions - before.minions);
-        count("lavender_placement_placed", after.placed - before.placed);
+        recordPlacement(m_metrics, before, m_dispatcher->placementCounts());
         return commit;
     }
 
@@ -385,7 +422,8 @@
             if (outcome == OwnerFence<Store>::Outcome::Stored)
                 break;
             const bool lost = outcome == OwnerFence<Store>::Outcome::Lost;
-            if (lost || stop.stop_requested() || m_releasing) {
+            const bool late = BootClock::now() - ownershipCallTimeout >= m_releaseBy.load();
+            if (lost || stop.stop_requested() || m_releasing || late) {
                 logEvent(LogLevel::Warning, "cell",
                          "another owner took over the cell, or this process is stopping",
                          {{"cell", m_cell},
@@ -434,15 +472,15 @@
     const std::string m_owner;
     const DispatchLimits m_limits;
     const Milliseconds m_loadTimeout;
-    OwnerFence<Store> m_fence;    // used by the thread only, except for its renewedAt()
-    BootTime m_claimAfter{};      // used by the thread only
-    std::vector<Row> m_inboxRows; // received and not applied; used by the follower's thread only
+    OwnerFence<Store> m_fence;        // used by the thread only, except for its renewedAt()
+    CellSuccessor<Store> m_successor; // used by the thread only, and by the loader
+    BootTime m_claimAfter{};          // used by the thread only
+    std::vector<Row> m_inboxRows;     // received and not applied; used by the follower only
 
     mutable std::mutex m_mutex;
-    std::condition_variable m_work;    // wakes the thread
-    std::condition_variable m_changed; // signals a change of m_state
-    /// By agent: wakes its blocked call; guarded by m_mutex.
-    std::map<std::string, std::unique_ptr<std::condition_variable>> m_waiters;
+    std::condition_variable m_work;                // wakes the thread
+    std::condition_variable m_changed;             // signals a change of m_state
+    AgentWaiters m_waiters;                        // guarded by m_mutex
     State m_state = State::Idle;                   // guarded by m_mutex
     std::int64_t m_epoch = 0;                      // of the newest ownership; guarded by m_mutex
     std::unique_ptr<CellDispatcher> m_dispatcher;  // null unless Serving; guarded by m_mutex
@@ -451,8 +489,12 @@
     BootTime m_evacuationsTime{};                  // guarded by m_mutex
     bool m_workPending = false;                    // guarded by m_mutex
     std::atomic<bool> m_claiming{true};
-    std::atomic<bool> m_releasing{false};
-    std::jthread m_thread; // declared last, so joined first
+    std::atomic<bool> m_leaving{false};
+    std::atomic<BootTime> m_releaseBy{BootTime::max()}; ///< end of the wait for agents
+    std::atomic<bool> m_releasing{false};               ///< grants and orders nothing any more
+    std::atomic<bool> m_awaitingSuccessor{false};       ///< released, and not taken over yet
+    std::unique_ptr<RowFollower<Store>> m_follower;     // used by the thread only
+    std::jthread m_thread;                              // declared last, so joined first
 };
 
 } // namespace lavenderarch
--- a/src/include/lavenderarch/runtime/owner_fence.h
+++ b/src/include/lavenderarch/runtime/owner_fence.h
@@ -69,7 +69,7 @@
     bool claim(const OwnershipWatch &watch)
     {
         const OwnerRecord previous = m_record;
-        m_record = {m_owner, m_address, previous.epoch + 1, 0, "", false};
+        m_record = {m_owner, m_address, previous.epoch + 1, 0, "", false, false};
         if (commit({}, BootClock::now() + ownershipCallTimeout * 2) != Outcome::Stored)
             return false;
         const std::string reason(reasonName(watch.reason()));
@@ -83,12 +83,27 @@
         return true;
     }
 
+    /// Reads the owner row; true when another process has taken over.
+    bool succeeded()
+    {
+        const auto row =
+            m_store.readOne(cells::ownerRowKey(m_cell), BootClock::now() + ownershipCallTimeout);
+        if (!row.ok() || row->version == 0)
+            return false;
+        const auto record = parseAs<OwnerRecord>(row->value, "owner row");
+        return record.ok() && record->owner != m_owner && !record->released;
+    }
+
     /// Makes one attempt, with a timeout that adapts to the store's latency, to store `writes`.
     Outcome commit(const std::vector<RowWrite> &writes)
     {
         return commit(writes, BootClock::now() + m_commitTimeout.current());
     }
 
+    /// The next commits tell that the cell will be released soon. Not while a commit is
+    /// unconfirmed.
+    void announceRelease() { m_record.leaving = true; }
+
     /// Marks the cell as released, so that another process can take it over at once.
     void release()
     {
--- a/src/include/lavenderarch/storage/row_store.h
+++ b/src/include/lavenderarch/storage/row_store.h
@@ -16,8 +16,9 @@
 /// commit: StoreUnavailable when nothing was or will be applied; OutcomeUnknown when the write may
 /// be applied, even later. read: all rows of a partition of a table; each page is a consistent
 /// snapshot. readPage: the first page of the rows whose key is `from` or greater. readOne: the row,
-/// version 0 when absent. follow: waits for changes of a table after `version` until `deadline`;
-/// NotFound when the changes since `version` are no longer kept and the rows must be read again.
+/// version 0 when absent. changes: the changes of a table after `version`. follow: the same, but
+/// waits until `deadline` for a change. Both: NotFound when the changes since `version` are no
+/// longer kept and the rows must be read again.
 template <typename T>
 concept RowStore = requires(T store, const std::string &text, const RowKey &key,
                             const RowTransaction &change, std::int64_t version, BootTime deadline)
@@ -34,6 +35,9 @@
     {
         store.readOne(key, deadline)
         } -> std::same_as<StatusOr<Row>>;
+    {
+        store.changes(text, version, deadline)
+        } -> std::same_as<StatusOr<RowRange>>;
     {
         store.follow(text, version, deadline)
         } -> std::same_as<StatusOr<RowRange>>;
--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -139,6 +139,23 @@
             view->second.snapshotDue);
 }
 
+bool CellDispatcher::hasUndeliveredStarts(BootTime heardSince) const
+{
+    const auto isStart = [](const RunOrder &order) { return order.kind == OrderKind::Start; };
+    const auto staged = [&](const auto &entry) {
+        const auto &orders = entry.second.orders;
+        return std::any_of(orders.begin(), orders.end(),
+                           [&](const auto &order) { return isStart(order.second); });
+    };
+    const auto unconfirmed = [&](const auto &entry) {
+        const MinionView &view = entry.second;
+        return view.lastHeard >= heardSince &&
+               std::any_of(view.outbox.begin(), view.outbox.end(), isStart);
+    };
+    return m_inFlight || std::any_of(m_staged.begin(), m_staged.end(), staged) ||
+           std::any_of(m_minions.begin(), m_minions.end(), unconfirmed);
+}
+
 void CellDispatcher::beginSession(MinionView &view, const ExchangeRequest &request)
 {
     recordEvent("agent started a new session",
--- a/src/libdispatch/cell_tables.cpp
+++ b/src/libdispatch/cell_tables.cpp
@@ -55,6 +55,11 @@
     return {ownerTable, cell, ownerKey};
 }
 
+RowKey successorRowKey(const std::string &cell)
+{
+    return {ownerTable, cell, successorKey};
+}
+
 RowWrite jobWrite(const std::string &cell, const JobSpec &job)
 {
     return {jobKey(cell, job.id), Json(job).dump(), false};
--- a/src/libdispatch/ownership_watch.cpp
+++ b/src/libdispatch/ownership_watch.cpp
@@ -2,6 +2,7 @@
 #include "lavenderarch/dispatch/ownership_watch.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lavenderarch {
 namespace {
@@ -38,16 +39,43 @@
         m_reads = 0;
     }
     ++m_reads;
-    const Milliseconds delay =
-        m_fastestRead > nearStoreReadTime ? remoteTakeoverDelay : Milliseconds(0);
+    if (!record.leaving)
+        m_leavingEpoch = 0;
+    else if (record.epoch != std::exchange(m_leavingEpoch, record.epoch))
+        m_leavingSince = now;
     m_unchangedFor = std::max(sentAt - m_since, Milliseconds(0));
     m_reason = version == 0                ? Reason::NoOwner
                : record.released           ? Reason::Released
                : isPreviousProcess(record) ? Reason::Restarted
                                            : Reason::Unchanged;
+    if (m_reason == Reason::Released)
+        return now - m_since >= releasedDelay(record);
     if (m_reason != Reason::Unchanged)
-        return now - m_since >= delay;
-    return m_reads >= minReads && sentAt - m_since >= ownerTakeoverTimeout + delay;
+        return now - m_since >= remoteDelay();
+    return m_reads >= minReads && sentAt - m_since >= ownerTakeoverTimeout + remoteDelay();
+}
+
+Milliseconds OwnershipWatch::remoteDelay() const
+{
+    return m_fastestRead > nearStoreReadTime ? remoteTakeoverDelay : Milliseconds(0);
+}
+
+Milliseconds OwnershipWatch::releasedDelay(const OwnerRecord &record) const
+{
+    if (m_successorEpoch != record.epoch)
+        return remoteDelay();
+    return m_isSuccessor ? Milliseconds(0) : std::max(successorHeadStart, remoteDelay());
+}
+
+std::int64_t OwnershipWatch::epochToReadAhead(BootTime now) const
+{
+    return now - m_leavingSince >= remoteDelay() ? m_leavingEpoch : 0;
+}
+
+void OwnershipWatch::setSuccessor(std::int64_t epoch, bool thisProcess)
+{
+    m_successorEpoch = epoch;
+    m_isSuccessor = thisProcess;
 }
 
 void OwnershipWatch::readFailed()
--- a/src/libdispatch/ownership_watch_test.cpp
+++ b/src/libdispatch/ownership_watch_test.cpp
@@ -35,6 +35,55 @@
     CHECK_FALSE(OwnershipWatch("vm-2-aaaa").observe(previous, 9, now, now + Milliseconds(5)));
 }
 
+TEST_CASE("a released cell is left to its successor for a short time")
+{
+    BootTime now{Milliseconds(100'000)};
+    OwnerRecord record{"vm-1-bbbb", "", 2, 0, "", false};
+    OwnershipWatch successor("vm-2-aaaa");
+    OwnershipWatch other("vm-3-aaaa");
+    const auto observe = [&](OwnershipWatch &watch, std::int64_t version) {
+        return watch.observe(record, version, now, now + Milliseconds(5));
+    };
+    CHECK_FALSE(observe(successor, 7));
+    CHECK(successor.epochToReadAhead(now) == 0);
+    record.leaving = true;
+    for (OwnershipWatch *watch : {&successor, &other}) {
+        CHECK_FALSE(observe(*watch, 8));
+        CHECK(watch->epochToReadAhead(now + Milliseconds(5)) == 2);
+    }
+    successor.setSuccessor(2, true);
+    other.setSuccessor(2, false);
+    record.released = true;
+    CHECK(observe(successor, 9));
+    CHECK_FALSE(observe(other, 9));
+    now += successorHeadStart;
+    CHECK(observe(other, 9));
+    // The next owner has no successor yet, and is not leaving.
+    record = {"vm-2-aaaa", "", 3, 0, "", false};
+    CHECK_FALSE(observe(other, 10));
+    CHECK(other.epochToReadAhead(now) == 0);
+    record.released = true;
+    CHECK(observe(other, 11));
+}
+
+TEST_CASE("a process far from the store reads a cell ahead only if none nearer does")
+{
+    BootTime now{Milliseconds(100'000)};
+    const OwnerRecord leaving{"vm-1-bbbb", "", 2, 0, "", false, true};
+    OwnershipWatch watch("vm-2-aaaa");
+    const auto observe = [&](std::int64_t version) {
+        now += watchInterval;
+        return watch.observe(leaving, version, now, now + Milliseconds(30));
+    };
+    CHECK_FALSE(observe(7));
+    CHECK(watch.epochToReadAhead(now) == 0);
+    CHECK_FALSE(observe(8));
+    CHECK(watch.epochToReadAhead(now) == 0);
+    CHECK_FALSE(observe(9));
+    CHECK_FALSE(observe(10));
+    CHECK(watch.epochToReadAhead(now) == 2);
+}
+
 TEST_CASE("the watch states why a cell may be taken over and for how long its row was unchanged")
 {
     using Reason = OwnershipWatch::Reason;
--- a/src/testing/memory_rows.h
+++ b/src/testing/memory_rows.h
@@ -44,6 +44,13 @@
         const std::scoped_lock lock(m_mutex);
         return m_singleReads;
     }
+    /// Number of pages of the table that were read.
+    int pageReads(const std::string &table) const
+    {
+        const std::scoped_lock lock(m_mutex);
+        const auto reads = m_pageReads.find(table);
+        return reads == m_pageReads.end() ? 0 : reads->second;
+    }
     int commits() const
     {
         const std::scoped_lock lock(m_mutex);
@@ -119,6 +126,11 @@
         return row == m_rows.end() ? Row{key, "", 0, false} : row->second;
     }
 
+    StatusOr<RowRange> changes(const std::string &table, std::int64_t version, BootTime)
+    {
+        return follow(table, version, BootClock::now());
+    }
+
     StatusOr<RowRange> follow(const std::string &table, std::int64_t version, BootTime deadline)
     {
         std::unique_lock lock(m_mutex);
@@ -147,6 +159,7 @@
                                const std::string &from, std::size_t limit, BootTime deadline)
     {
         std::unique_lock lock(m_mutex);
+        ++m_pageReads[table];
         while (m_heldTable == table) {
             const BootTime now = BootClock::now();
             if (now >= deadline)
@@ -176,7 +189,8 @@
     int m_commits = 0;
     int m_failingReads = 0;
     int m_singleReads = 0;
-    std::string m_heldTable; // its partitions cannot be read
+    std::map<std::string, int> m_pageReads; // by table
+    std::string m_heldTable;                // its partitions cannot be read
     std::int64_t m_version = 0;
     std::int64_t m_oldestFollowable = 0;
     std::map<RowKey, Row> m_rows;
