--- a/src/include/lavenderarch/telemetry/log.h
+++ b/src/include/lavenderarch/telemetry/log.h
@@ -1,6 +1,7 @@
 // Structured logging: JSON lines through log4cxx.
 #pragma once
 
+#include "lavenderarch/core/boot_clock.h"
 #include "lavenderarch/core/status.h"
 #include "lavenderarch/telemetry/log_field.h"
 
@@ -26,6 +27,9 @@
                   LogTarget target = LogTarget::StandardError);
 /// Writes the buffered lines and discards later ones. Call once, after other threads.
 void stopLogging();
+/// Writes the lines that are buffered for standard output. False when they are not written by
+/// `deadline`, since the output is not read. Thread-safe.
+bool flushLog(BootTime deadline);
 
 /// Writes one JSON line with level, component, message and fields. Thread-safe.
 void logEvent(LogLevel level, std::string_view component, std::string_view message,
--- a/src/libtelemetry/line_buffer.cpp
+++ b/src/libtelemetry/line_buffer.cpp
@@ -89,6 +89,14 @@
     return m_counts;
 }
 
+bool LineBuffer::flush(BootTime deadline)
+{
+    std::unique_lock lock(m_mutex);
+    const std::int64_t target = m_takenLines + m_waitingLines;
+    return m_written.wait_for(lock, deadline - BootClock::now(),
+                              [&] { return m_takenLines >= target; });
+}
+
 void LineBuffer::writeLines(const std::stop_token &stop)
 {
     std::int64_t reportedDrops = 0;
@@ -115,6 +123,8 @@
             m_counts.buffered -= taken;
             m_counts.dropped += taken;
         }
+        m_takenLines += taken;
+        m_written.notify_all();
     }
 }
 
--- a/src/libtelemetry/line_buffer.h
+++ b/src/libtelemetry/line_buffer.h
@@ -1,6 +1,7 @@
 // Bounded buffer between the threads that log and the output.
 #pragma once
 
+#include "lavenderarch/core/boot_clock.h"
 #include "lavenderarch/telemetry/log_counts.h"
 
 #include <condition_variable>
@@ -25,6 +26,9 @@
     /// Adds one line, which ends with a newline, or counts it as dropped when the buffer is full.
     void add(const std::string &line);
     LogCounts counts() const;
+    /// Waits until all lines added so far are written or dropped; false when `deadline` passes
+    /// first.
+    bool flush(BootTime deadline);
 
 private:
     void writeLines(const std::stop_token &stop);
@@ -33,8 +37,10 @@
     const std::int64_t m_capacityLines;
     mutable std::mutex m_mutex;
     std::condition_variable_any m_added;
+    std::condition_variable_any m_written;
     std::string m_lines;             // not yet taken by the thread; guarded by m_mutex
     std::int64_t m_waitingLines = 0; // not yet written; guarded by m_mutex
+    std::int64_t m_takenLines = 0;   // written or lost by the thread; guarded by m_mutex
     LogCounts m_counts;              // guarded by m_mutex
     std::jthread m_thread;           // declared last, so joined first
 };
--- a/src/libtelemetry/log.cpp
+++ b/src/libtelemetry/log.cpp
@@ -102,6 +102,11 @@
     standardOutputBuffer.reset();
 }
 
+bool flushLog(BootTime deadline)
+{
+    return standardOutputBuffer == nullptr || standardOutputBuffer->flush(deadline);
+}
+
 LogCounts logCounts()
 {
     return standardOutputBuffer == nullptr ? LogCounts{} : standardOutputBuffer->counts();
--- a/src/libtelemetry/log_test.cpp
+++ b/src/libtelemetry/log_test.cpp
@@ -76,6 +76,32 @@
     CHECK(parsed[3].at("context_map") == Json{{"job", "j"}, {"kind", "not-found"}});
 }
 
+TEST_CASE("a flush waits for all lines added before, but not longer than its deadline")
+{
+    std::array<int, 2> ends{};
+    REQUIRE(::pipe(ends.data()) == 0);
+    {
+        LineBuffer buffer(ends[1], 1000);
+        CHECK(buffer.flush(BootClock::now()));
+        std::string expected;
+        for (int index = 0; index < 100; ++index) {
+            const std::string line = std::to_string(index) + "\n";
+            buffer.add(line);
+            expected += line;
+        }
+        CHECK(buffer.flush(BootClock::now() + Milliseconds(10'000)));
+        std::string text(2 * expected.size(), ' ');
+        text.resize(static_cast<std::size_t>(::read(ends[0], text.data(), text.size())));
+        CHECK(text == expected);
+        const std::string line = std::string(1023, 'x') + "\n"; // more than a pipe takes, in all
+        for (int index = 0; index < 500; ++index)
+            buffer.add(line);
+        CHECK_FALSE(buffer.flush(BootClock::now() + Milliseconds(50)));
+    }
+    ::close(ends[0]);
+    ::close(ends[1]);
+}
+
 TEST_CASE("lines are dropped and counted, and nothing blocks, when the output is not read")
 {
     std::array<int, 2> ends{};
--- a/testsuite/platform_case.py
+++ b/testsuite/platform_case.py
@@ -1,11 +1,14 @@
 """The platform programs against a simulated platform, with and without seeded faults."""
+import http.client
 import itertools
 import json
 import os
 import random
 import signal
+import socket
 import subprocess
 import tempfile
+import threading
 import time
 from typing import Dict, List, Optional
 
@@ -52,7 +55,8 @@
 class Platform:
     """Simulated store and minions with agents and entries; stops all of them on exit."""
 
-    def __init__(self, build: str, seed: int):
+    def __init__(self, build: str, seed: int, grace_ms: int = GRACE_MS):
+        self.grace_ms = grace_ms
         self.folder = tempfile.mkdtemp(prefix="lavender-platform-")
         self.ports = free_ports(1 + 3 * MINIONS + 3 * ENTRIES)
         self.store = Store(self.ports.pop(), seed)
@@ -75,7 +79,7 @@
 
     def settings(self, vm: str, **overrides) -> dict:
         return {"vm": vm, "host": "127.0.0.1", "dataCentre": "dc-1", "store": self.store.address,
-                "ownPort": self.ports.pop(), "longestLeaseMs": 5000, "gracePeriodMs": GRACE_MS,
+                "ownPort": self.ports.pop(), "longestLeaseMs": 5000, "gracePeriodMs": self.grace_ms,
                 "retentionS": 120, "control": "call", **overrides}
 
     def __enter__(self):
@@ -199,6 +203,95 @@
         assert answers[-1] == 4, f"{answers[-1]} pending after a restart"
 
 
+def open_connections(port: int) -> list:
+    """Idle connections after a response, and one on which half of a request was sent."""
+    connections = []
+    for _ in range(5):
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+        connection.request("GET", "/q/", headers={"Host": "h.example"})
+        connection.getresponse().read()
+        connections.append(connection)
+    partial = socket.create_connection(("127.0.0.1", port))
+    partial.sendall(b"POST /q/" + b"9" * 16 + b" HTTP/1.1\r\nHost: h.example\r\n"
+                    b"Content-Length: 100\r\n\r\n{")
+    return connections + [partial]
+
+
+def stop_and_check(platform: Platform, programs: List[Program]) -> None:
+    """The processes end by themselves before the platform kills them, and their logs are whole."""
+    killed_at = time.monotonic() + platform.grace_ms / 1000
+    for program in programs:
+        program.send(signal.SIGTERM)
+    for program in programs:
+        name = program.settings["vm"]
+        try:
+            status = program.process.wait(max(killed_at - time.monotonic(), 0))
+        except subprocess.TimeoutExpired:
+            raise AssertionError(f"{name} still runs at the end of the grace time; logs in "
+                                 f"{platform.folder}") from None
+        assert status == 0, f"{name} ended with {status}"
+        with open(program.log.name, encoding="utf-8") as log:
+            messages = [json.loads(line)["message"] for line in log]
+        assert messages.count("stopped") == messages.count("stopping"), \
+            f"{name} ended without its last log lines"
+
+
+def test_planned_stop_ends_in_time(build: str) -> None:
+    # The destruction of servers, followers and loops outlasted the grace time.
+    with Platform(build, 4) as platform:
+        job = "a" * 16
+        platform.request_any("POST", job, {"spec": "60000", "steps": [
+            {"count": 3, "cpu": 500, "memMb": 100, "estimateMs": 100, "longRunning": True}]})
+        platform.await_state(job, "running")
+        for entry, program in enumerate(platform.entries):
+            wait_until(lambda: platform.call(entry, "GET", "").status == 200, 20,
+                       f"entry {entry} to answer; logs in {platform.folder}")
+            connections = open_connections(platform.callers[entry])
+            stop_and_check(platform, [program])
+            for connection in connections:
+                connection.close()
+            program.start()
+        stop_and_check(platform, platform.agents)
+        leases = [minion.lease_end() for minion in platform.minions]
+        for program in platform.agents:
+            program.start()
+        # Only an agent that knows its minion's runs renews their lease.
+        hosts = [index for index, minion in enumerate(platform.minions) if minion.history]
+        wait_until(lambda: all(platform.minions[index].lease_end() > leases[index]
+                               for index in hosts), 10, "the leases to be renewed")
+        runs = [(run["task"], run["run"], run["how"]) for minion in platform.minions
+                for run in minion.history]
+        assert sorted(runs) == [(f"{job}.0.0.{index}", 1, "running") for index in range(3)], runs
+
+
+def test_planned_stop_without_store(build: str) -> None:
+    # A stop waited longer for the store than the platform waits for the process.
+    with Platform(build, 5, grace_ms=4000) as platform:
+        platform.await_done([platform.submit(1)], SETTLE_S)
+        answers: List[int] = []
+
+        def submit(entry: int, job: str) -> None:
+            answers.append(platform.call(entry, "POST", job, {"spec": "100", "steps": [
+                {"count": 1, "cpu": 500, "memMb": 100, "estimateMs": 100}]}).status)
+
+        jobs = [f"{100 + entry:016x}" for entry in range(ENTRIES)]
+        callers = [threading.Thread(target=submit, args=call) for call in enumerate(jobs)]
+        platform.store.silent.set()
+        try:
+            for thread in callers:
+                thread.start()
+            for job in jobs:
+                wait_until(lambda: any(job.encode() in body for body in
+                                       list(platform.store.unanswered)),
+                           10, f"job {job} at the store", pause=0.01)
+            stop_and_check(platform, platform.entries + platform.agents)
+            for thread in callers:
+                thread.join()
+        finally:
+            platform.store.silent.clear()
+        assert len(answers) == ENTRIES and set(answers) <= {503, 504}, answers
+
+
 def inject_fault(platform: Platform, rng: random.Random) -> None:
     """Injects one random fault and returns when it is over."""
     fault = rng.choice(["kill entry", "kill agent", "freeze entry", "freeze agent", "stop entry",
--- a/testsuite/platform_stand_in.py
+++ b/testsuite/platform_stand_in.py
@@ -65,7 +65,8 @@
     """Row store with a global version, conditional transactions and a change feed.
 
     Until `down_until` requests fail with 503. Until `lost_until` 30 % of the transactions get no
-    response after they took effect. `reloads` counts, by table, the feed calls that asked for a
+    response after they took effect. While `silent` is set, requests have no effect and get neither
+    a response nor a closed connection; `unanswered` has their bodies. `reloads` counts, by table, the feed calls that asked for a
     forgotten part of the history.
     """
 
@@ -73,6 +74,8 @@
         self.address = f"127.0.0.1:{port}"
         self.down_until = 0.0
         self.lost_until = 0.0
+        self.silent = threading.Event()
+        self.unanswered: List[bytes] = []
         self.reloads: Dict[str, int] = {}
         self._forgotten_until = 0  # version
         self._random = random.Random(seed)
@@ -96,6 +99,11 @@
             self._changed.notify_all()
 
     def _handle(self, method, path, query, headers, body):
+        if self.silent.is_set():
+            self.unanswered.append(body)
+            while self.silent.is_set():
+                time.sleep(0.05)
+            raise NoResponse
         if time.monotonic() < self.down_until:
             return 503, {}
         if path == "/-/rows-tx":
@@ -202,6 +210,11 @@
                 run.update(end=time.monotonic(), how="crashed")
             self._running = {}
 
+    def lease_end(self) -> int:
+        """End of the lease on the minion's clock, in milliseconds."""
+        with self._lock:
+            return self._lease_until
+
     def _clock(self) -> int:
         return int((time.monotonic() - self._started) * 1000)
 
