Make the tests of the planned handover independent of timing

Two of the four new mutants survived: the release was observed before the cell's thread had decided, and an agent's runs count only in the owner's epoch. The tests now wait for two renewals of the owner row and report in the new epoch; all four mutants are caught (applied by hand, one at a time). The wait for agents is an argument of startRelease(), so that the test does not depend on its length.

--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -63,11 +63,11 @@
 
     /// Stops takeovers and placement, waits until the agents have the committed starts, and marks
     /// the cell as released, so that another process can take it over at once. Returns immediately.
-    void startRelease()
+    void startRelease(Milliseconds deliveryTime = startDeliveryTime)
     {
         const std::scoped_lock lock(m_mutex);
         m_claiming = false;
-        m_releaseBy = std::min(m_releaseBy.load(), BootClock::now() + startDeliveryTime);
+        m_releaseBy = std::min(m_releaseBy.load(), BootClock::now() + deliveryTime);
         m_releasing = m_releasing || m_state != State::Serving;
         m_work.notify_all();
     }
--- a/src/libruntime/handover_test.cpp
+++ b/src/libruntime/handover_test.cpp
@@ -132,10 +132,12 @@
         const auto reply = host.exchange(agent.next(0)); // confirms nothing: not applied
         return reply.ok() && isPlaced(store, "a");
     }));
-    host.startRelease();
+    host.startRelease(Milliseconds(60'000));
     submit(store, "b");
+    // The owner decides at least once between two renewals.
+    const std::int64_t sequence = ownerRecord(store).sequence;
+    REQUIRE(eventually([&] { return ownerRecord(store).sequence >= sequence + 2; }));
     CHECK_FALSE(ownerRecord(store).released);
-    // The order is given as soon as the owner knows that it is stored.
     REQUIRE(eventually([&] { return agent.poll(host) && agent.runs("a"); }));
     static_cast<void>(host.exchange(agent.next(0))); // confirms the start
     REQUIRE(eventually([&] { return ownerRecord(store).released; }));
@@ -185,8 +187,9 @@
     REQUIRE(eventually([&] { return second.owns() || third.owns(); }));
     CHECK(ownerRecord(store).epoch == 2);
     CHECK(store.pageReads(cells::progressTable) == reads + 3);
-    // The new owner knows all runs: it orders no stop of what the agent reports.
+    // The new owner knows all runs: it orders no stop of what the agent reports in its epoch.
     Host &owner = second.owns() ? second : third;
+    REQUIRE(agent.poll(owner));
     const auto adopted = owner.exchange(agent.next(0));
     REQUIRE(adopted.ok());
     CHECK(adopted->orders.empty());
