Leave the ends of a released cell to its next owner

During a release the owner committed ends and phases while it waited for agents to confirm their starts. The next owner hears the same ends from the agents. Now only starts are committed.

--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -65,6 +65,8 @@
     ExchangeReply reply(const std::string &agent, BootTime arrived, bool mayGrant);
     /// True when a reply would have something that the agent should get without delay.
     bool hasOrders(const std::string &agent) const;
+    /// True while starts wait to be stored.
+    bool hasStagedStarts() const;
     /// True while starts wait to be stored, or to be confirmed by an agent that was heard since
     /// `heardSince`.
     bool hasUndeliveredStarts(BootTime heardSince) const;
--- a/src/include/lavenderarch/runtime/agent_waiters.h
+++ b/src/include/lavenderarch/runtime/agent_waiters.h
@@ -26,13 +26,18 @@
 
     /// Wakes the calls of the agents for which `due(agent)` holds.
     template <typename Predicate>
-    void wake(Predicate due)
+    void wakeIf(Predicate due)
     {
         for (const auto &[agent, waiter] : m_waiters) {
             if (due(agent))
                 waiter->notify_all();
         }
     }
+    void wakeAll()
+    {
+        for (const auto &[agent, waiter] : m_waiters)
+            waiter->notify_all();
+    }
 
 private:
     std::map<std::string, std::unique_ptr<std::condition_variable>> m_waiters; // by agent
--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -5,8 +5,8 @@
 #include "lavenderarch/runtime/agent_waiters.h"
 #include "lavenderarch/runtime/cell_load.h"
 #include "lavenderarch/runtime/cell_successor.h"
+#include "lavenderarch/runtime/measured_commit.h"
 #include "lavenderarch/runtime/owner_fence.h"
-#include "lavenderarch/runtime/placement_metrics.h"
 #include "lavenderarch/runtime/row_follower.h"
 #include "lavenderarch/telemetry/cpu_time.h"
 #include "lavenderarch/telemetry/metrics.h"
@@ -174,7 +174,7 @@
         if (state == State::Idle)
             m_dispatcher.reset();
         m_changed.notify_all();
-        wakeAgents(true);
+        m_waiters.wakeAll();
     }
 
     bool releasing() const { return m_releaseBy.load() != BootTime::max(); }
@@ -187,10 +187,10 @@
         return makeError(ErrorKind::StaleCommand, "this process does not own cell " + m_cell);
     }
 
-    /// Requires m_mutex. Wakes the blocked calls of agents that have orders, or all of them.
-    void wakeAgents(bool all)
+    /// Requires m_mutex. Wakes the blocked calls of agents that have orders.
+    void wakeAgents()
     {
-        m_waiters.wake([&](const auto &agent) { return all || m_dispatcher->hasOrders(agent); });
+        m_waiters.wakeIf([&](const auto &agent) { return m_dispatcher->hasOrders(agent); });
     }
 
     /// Requires m_mutex. False while releasing, or when another process may have taken over.
@@ -374,10 +374,13 @@
                     nextTick = BootClock::now() + tickInterval;
                 }
                 const BootTime placedAt = BootClock::now();
-                commit =
-                    prepareCommit(placedAt, !releasing() && m_dispatcher->canStartInTime(placedAt));
+                // The ends and phases of a cell that is released are left to its next owner.
+                if (!releasing() || m_dispatcher->hasStagedStarts())
+                    commit = prepareMeasuredCommit(
+                        *m_dispatcher, placedAt,
+                        !releasing() && m_dispatcher->canStartInTime(placedAt), m_metrics);
                 logEvents();
-                wakeAgents(false);
+                wakeAgents();
                 if (!commit && BootClock::now() < renewal)
                     continue;
             }
@@ -399,18 +402,6 @@
                                !m_dispatcher->hasUndeliveredStarts(now - deliveryHeardTime));
     }
 
-    /// Requires m_mutex. Records how long the dispatcher takes and what its placement does.
-    std::optional<CellCommit> prepareCommit(BootTime now, bool mayPlace)
-    {
-        const PlacementCounts before = m_dispatcher->placementCounts();
-        const auto started = std::chrono::steady_clock::now();
-        auto commit = m_dispatcher->prepareCommit(now, mayPlace);
-        const std::chrono::duration<double> seconds = std::chrono::steady_clock::now() - started;
-        m_metrics.observeSeconds("lavender_prepare_commit_seconds", seconds.count());
-        recordPlacement(m_metrics, before, m_dispatcher->placementCounts());
-        return commit;
-    }
-
     /// Repeats the commit until it is stored (true). False when another owner has written the owner
     /// row, or when this process stops or releases the cell first.
     bool commitUntilStored(const std::stop_token &stop, const CellCommit &commit)
@@ -444,7 +435,7 @@
             return true;
         m_dispatcher->commitApplied(BootClock::now());
         m_workPending = m_workPending || !commit.writes.empty();
-        wakeAgents(false);
+        wakeAgents();
         return true;
     }
 
--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -139,20 +139,24 @@
             view->second.snapshotDue);
 }
 
-bool CellDispatcher::hasUndeliveredStarts(BootTime heardSince) const
+bool CellDispatcher::hasStagedStarts() const
 {
-    const auto isStart = [](const RunOrder &order) { return order.kind == OrderKind::Start; };
-    const auto staged = [&](const auto &entry) {
+    return std::any_of(m_staged.begin(), m_staged.end(), [](const auto &entry) {
         const auto &orders = entry.second.orders;
         return std::any_of(orders.begin(), orders.end(),
-                           [&](const auto &order) { return isStart(order.second); });
-    };
+                           [](const auto &order) { return order.second.kind == OrderKind::Start; });
+    });
+}
+
+bool CellDispatcher::hasUndeliveredStarts(BootTime heardSince) const
+{
+    const auto isStart = [](const RunOrder &order) { return order.kind == OrderKind::Start; };
     const auto unconfirmed = [&](const auto &entry) {
         const MinionView &view = entry.second;
         return view.lastHeard >= heardSince &&
                std::any_of(view.outbox.begin(), view.outbox.end(), isStart);
     };
-    return m_inFlight || std::any_of(m_staged.begin(), m_staged.end(), staged) ||
+    return m_inFlight || hasStagedStarts() ||
            std::any_of(m_minions.begin(), m_minions.end(), unconfirmed);
 }
 
