Let a successor that is stopping resign

In a roll of planned stops the registered successor may be told to stop before the cell is released to it. It then resigns, and another entry registers and reads the cell ahead; without that the others wait 500 ms and read the whole cell. Test: a successor that is stopping is replaced by another process; the mutant without the resignation is caught.

--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -210,6 +210,8 @@
                 loadAndServe(stop);
             else if (m_claiming)
                 m_successor.prepare(watch, stop);
+            else
+                m_successor.resign();
             const auto pause = m_awaitingSuccessor ? handoverInterval : m_successor.interval();
             std::unique_lock lock(m_mutex);
             m_work.wait_for(lock, pause, [&] { return stop.stop_requested(); });
--- a/src/include/lavenderarch/runtime/cell_successor.h
+++ b/src/include/lavenderarch/runtime/cell_successor.h
@@ -37,68 +37,94 @@
     {
         const BootTime now = BootClock::now();
         const std::int64_t epoch = watch.epochToReadAhead(now);
-        if (epoch == 0) {
-            m_rows.reset();
-            m_registered = false;
-            return;
+        if (epoch != m_epoch) {
+            m_epoch = epoch;
+            forget();
         }
-        if (epoch != m_knownEpoch)
-            registerFor(epoch, watch);
-        if (!m_registered || now < m_nextUpdate)
+        if (epoch == 0 || now < m_nextUpdate)
             return;
-        const BootTime deadline = now + readAheadTimeout;
-        if (!m_rows) {
-            auto rows = readCell(m_store, m_cell, deadline, stop);
-            if (rows.ok())
-                m_rows = *std::move(rows);
-        } else if (!updateCell(m_store, m_cell, *m_rows, deadline).ok()) {
-            m_rows.reset();
-        }
+        if (!m_registered)
+            registerSelf(watch);
+        if (m_registered)
+            updateRows(now + readAheadTimeout, stop);
         m_nextUpdate = BootClock::now() + readAheadInterval;
     }
 
+    /// Lets another process register instead of this one, which is stopping.
+    void resign()
+    {
+        if (!m_registered)
+            return;
+        const Status resigned = store({"", m_epoch}, std::nullopt).status();
+        if (!resigned.ok())
+            logFailure("cell", "cannot resign as the successor", resigned, {{"cell", m_cell}});
+        forget();
+    }
+
     /// Time after which the owner row is read again.
     Milliseconds interval() const { return m_registered ? handoverInterval : watchInterval; }
     /// The rows that were read ahead; nothing without a planned handover to this process.
     std::optional<CellRows> takeRows() { return std::exchange(m_rows, std::nullopt); }
 
 private:
-    void registerFor(std::int64_t epoch, OwnershipWatch &watch)
+    void forget()
     {
-        const RowKey key = cells::successorRowKey(m_cell);
-        const BootTime deadline = BootClock::now() + ownershipCallTimeout;
-        const auto row = m_store.readOne(key, deadline);
+        m_rows.reset();
+        m_registered = false;
+        m_nextUpdate = {};
+    }
+
+    /// Registers unless another process has done so and has not resigned.
+    void registerSelf(OwnershipWatch &watch)
+    {
+        const auto row = m_store.readOne(cells::successorRowKey(m_cell),
+                                         BootClock::now() + ownershipCallTimeout);
         if (!row.ok())
             return;
-        const auto known = row->version == 0
-                               ? StatusOr<SuccessorRecord>(SuccessorRecord{})
-                               : parseAs<SuccessorRecord>(row->value, "successor row");
-        bool registered = false;
-        if (!known.ok() || known->epoch < epoch) {
-            const SuccessorRecord record{m_process, epoch};
-            RowTransaction change;
-            change.conditions.push_back({key, row->version});
-            change.writes.push_back({key, Json(record).dump(), false});
-            const auto commit = m_store.commit(change, deadline);
+        SuccessorRecord known;
+        if (row->version != 0) {
+            const auto record = parseAs<SuccessorRecord>(row->value, "successor row");
+            if (record.ok())
+                known = *record;
+        }
+        m_registered = known == SuccessorRecord{m_process, m_epoch};
+        if (!m_registered && (known.epoch < m_epoch || known.process.empty())) {
+            const auto commit = store({m_process, m_epoch}, row->version);
             if (!commit.ok())
                 return;
-            registered = commit->committed;
-        } else {
-            registered = known->epoch == epoch && known->process == m_process;
+            m_registered = commit->committed;
         }
-        m_knownEpoch = epoch;
-        m_registered = registered;
-        watch.setSuccessor(epoch, registered);
-        if (registered)
+        watch.setSuccessor(m_epoch, m_registered);
+        if (m_registered)
             logEvent(LogLevel::Info, "cell", "reading the cell ahead of its planned handover",
-                     {{"cell", m_cell}, {"epoch", std::to_string(epoch)}});
+                     {{"cell", m_cell}, {"epoch", std::to_string(m_epoch)}});
+    }
+
+    StatusOr<RowCommit> store(const SuccessorRecord &record, std::optional<std::int64_t> version)
+    {
+        const RowKey key = cells::successorRowKey(m_cell);
+        RowTransaction change;
+        if (version)
+            change.conditions.push_back({key, *version});
+        change.writes.push_back({key, Json(record).dump(), false});
+        return m_store.commit(change, BootClock::now() + ownershipCallTimeout);
+    }
+
+    void updateRows(BootTime deadline, const std::stop_token &stop)
+    {
+        if (m_rows && updateCell(m_store, m_cell, *m_rows, deadline).ok())
+            return;
+        auto rows = readCell(m_store, m_cell, deadline, stop);
+        m_rows.reset();
+        if (rows.ok())
+            m_rows = *std::move(rows);
     }
 
     Store &m_store;
     const std::string m_cell;
     const std::string m_process;
-    std::int64_t m_knownEpoch = -1; // of the owner whose successor is known
-    bool m_registered = false;      // this process is that successor
+    std::int64_t m_epoch = 0;  // of the owner that is leaving; 0: none is
+    bool m_registered = false; // this process is its successor
     std::optional<CellRows> m_rows;
     BootTime m_nextUpdate{};
 };
--- a/src/libruntime/handover_test.cpp
+++ b/src/libruntime/handover_test.cpp
@@ -219,6 +219,32 @@
     CHECK(ownerAtAnswer == "vm-b-1");
 }
 
+// Guards against a handover to a process that is stopped in the same roll.
+TEST_CASE("a successor that is stopping is replaced by another process")
+{
+    MemoryRows store;
+    Metrics metrics;
+    Host first(store, metrics, "svc", "vm-a-1", "1.1.1.1:1", DispatchLimits{});
+    REQUIRE(eventually([&] { return first.owns(); }));
+    const auto successor = [&] {
+        const auto row = store.readOne(cells::successorRowKey("svc"), deadlineIn(1000));
+        return row->version == 0 ? ""
+                                 : parseAs<SuccessorRecord>(row->value, "successor row")->process;
+    };
+    Host second(store, metrics, "svc", "vm-b-1", "1.1.1.2:1", DispatchLimits{});
+    first.announceRelease();
+    REQUIRE(eventually([&] { return successor() == "vm-b-1"; }));
+    Host third(store, metrics, "svc", "vm-c-1", "1.1.1.3:1", DispatchLimits{});
+    second.stopClaiming();
+    REQUIRE(eventually([&] { return successor() == "vm-c-1"; }));
+    // Each of the three has read the empty table once.
+    REQUIRE(eventually([&] { return store.pageReads(cells::progressTable) == 3; }));
+    store.holdReads(cells::progressTable);
+    first.release(deadlineIn(10'000));
+    REQUIRE(eventually([&] { return third.owns(); }));
+    store.letReadsGo();
+}
+
 TEST_CASE("a cell whose successor ends is taken over by another process")
 {
     MemoryRows store;
