--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -68,6 +68,11 @@
     bool hasOrders(const std::string &agent) const;
     /// Returns and clears the agents for which hasOrders() may have become true.
     std::set<std::string> takeAgentsToWake() { return std::exchange(m_agentsToWake, {}); }
+    /// True while starts wait to be stored.
+    bool hasStagedStarts() const;
+    /// True while starts wait to be stored, or to be confirmed by an agent that was heard since
+    /// `heardSince`.
+    bool hasUndeliveredStarts(BootTime heardSince) const;
 
     /// Ends the runs of minions whose lease has lapsed, stops stalled and slowed runs, and creates
     /// due occurrences.
--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -2,8 +2,12 @@
 #pragma once
 
 #include "lavenderarch/dispatch/queue_catalog.h"
+#include "lavenderarch/runtime/agent_waiters.h"
 #include "lavenderarch/runtime/cell_load.h"
+#include "lavenderarch/runtime/cell_successor.h"
+#include "lavenderarch/runtime/inbox_rows.h"
 #include "lavenderarch/runtime/inbox_writer.h"
+#include "lavenderarch/runtime/measured_commit.h"
 #include "lavenderarch/runtime/owner_fence.h"
 #include "lavenderarch/runtime/row_follower.h"
 #include "lavenderarch/telemetry/cpu_time.h"
@@ -20,6 +24,10 @@
 inline constexpr Milliseconds tickInterval{250};
 /// Time for which a process does not claim a cell that it could not load.
 inline constexpr Milliseconds claimPause{5000};
+/// Longest wait of a release for agents to confirm their starts; polls are nearly always open.
+inline constexpr Milliseconds startDeliveryTime{600};
+/// Agents heard in this time count as reachable during a release.
+inline constexpr Milliseconds deliveryHeardTime{1500};
 
 /// Competes for the cell on a thread of its own until destruction. Does not own the store or the
 /// metrics, which must outlive it. Thread-safe: no call to the store is made while a lock is held.
@@ -36,6 +44,7 @@
         , m_limits(limits)
         , m_loadTimeout(loadTimeout)
         , m_fence(store, metrics, m_cell, m_owner, std::move(address))
+        , m_successor(store, m_cell, m_owner)
         , m_thread([this](const std::stop_token &stop) { run(stop); })
     {
     }
@@ -50,14 +59,27 @@
     /// Stops takeovers. A cell that is owned already stays owned.
     void stopClaiming() { m_claiming = false; }
 
-    /// Marks the cell as released, so that another process can take it over at once, and stops
-    /// takeovers. Waits for a limited time until this process has stopped acting as the owner.
-    void release()
+    /// Tells the other processes that the cell will be released; one of them reads it ahead.
+    void announceRelease() { m_leaving = true; }
+
+    /// Stops takeovers and placement, waits until the agents have the committed starts, and marks
+    /// the cell as released, so that another process can take it over at once. Returns immediately.
+    void startRelease(Milliseconds deliveryTime = startDeliveryTime)
     {
-        std::unique_lock lock(m_mutex);
-        m_releasing = true;
+        const std::scoped_lock lock(m_mutex);
+        m_claiming = false;
+        m_releaseBy = std::min(m_releaseBy.load(), BootClock::now() + deliveryTime);
+        m_releasing = m_releasing || m_state != State::Serving;
         m_work.notify_all();
-        m_changed.wait_for(lock, ownershipCallTimeout * 2, [&] { return m_state == State::Idle; });
+    }
+
+    /// The same, and waits until this process has stopped acting as the owner or `deadline` passes.
+    void release(BootTime deadline = BootClock::now() + startDeliveryTime + ownershipCallTimeout)
+    {
+        startRelease();
+        std::unique_lock lock(m_mutex);
+        while (m_state != State::Idle && BootClock::now() < deadline)
+            m_changed.wait_for(lock, deadline - BootClock::now());
     }
 
     void setCatalog(std::shared_ptr<const QueueCatalog> catalog)
@@ -102,12 +124,12 @@
             m_changed.wait_for(lock, until - BootClock::now());
         // An owner that could not renew rejects agents, as another process may have taken over.
         if (m_state == State::Idle || request.epoch > m_epoch || !ownershipValid())
-            return notOwner();
+            return reject(lock, until);
         if (m_state == State::Loading)
             return loadingReply(request);
         const std::int64_t epoch = m_epoch;
         m_dispatcher->handleRequest(request, BootClock::now(), ownershipValid());
-        if (m_dispatcher->hasWork()) {
+        if (m_dispatcher->hasWork() || releasing()) {
             m_workPending = true;
             m_work.notify_all();
         }
@@ -116,10 +138,10 @@
             const BootTime now = BootClock::now();
             if (now >= until || m_releasing)
                 break;
-            waiterOf(request.agent).wait_for(lock, until - now);
+            m_waiters.wait(request.agent, lock, until - now);
         }
-        if (m_dispatcher == nullptr || m_epoch != epoch)
-            return notOwner();
+        if (m_dispatcher == nullptr || m_epoch != epoch || m_releasing)
+            return reject(lock, until);
         return m_dispatcher->reply(request.agent, arrived, ownershipValid());
     }
 
@@ -130,12 +152,6 @@
     }
 
 private:
-    /// Rows of the inbox that are current as of a time.
-    struct Inbox
-    {
-        std::vector<Row> rows;
-        BootTime asOf{};
-    };
     enum class State {
         Idle,    ///< not the owner
         Loading, ///< the owner, but the dispatcher is not rebuilt yet
@@ -159,31 +175,24 @@
         if (state == State::Idle)
             m_dispatcher.reset();
         m_changed.notify_all();
-        for (const auto &[agent, waiter] : m_waiters)
-            waiter->notify_all();
+        m_waiters.wakeAll();
     }
 
-    Status notOwner() const
-    {
-        return makeError(ErrorKind::StaleCommand, "this process does not own cell " + m_cell);
-    }
+    bool releasing() const { return m_releaseBy.load() != BootTime::max(); }
 
-    /// Requires m_mutex.
-    std::condition_variable &waiterOf(const std::string &agent)
+    /// Holds a poll of a released cell until the agent can look up the next owner.
+    Status reject(std::unique_lock<std::mutex> &lock, BootTime until)
     {
-        auto &waiter = m_waiters[agent];
-        if (waiter == nullptr)
-            waiter = std::make_unique<std::condition_variable>();
-        return *waiter;
+        while (m_awaitingSuccessor && BootClock::now() < until)
+            m_changed.wait_for(lock, until - BootClock::now());
+        return makeError(ErrorKind::StaleCommand, "this process does not own cell " + m_cell);
     }
 
     /// Requires m_mutex. Wakes the blocked calls of agents that have got orders.
     void wakeAgents()
     {
-        for (const std::string &agent : m_dispatcher->takeAgentsToWake()) {
-            if (const auto waiter = m_waiters.find(agent); waiter != m_waiters.end())
-                waiter->second->notify_all();
-        }
+        for (const std::string &agent : m_dispatcher->takeAgentsToWake())
+            m_waiters.wake(agent);
     }
 
     /// Requires m_mutex. False while releasing, or when another process may have taken over.
@@ -196,14 +205,31 @@
     {
         OwnershipWatch watch(m_owner);
         while (!stop.stop_requested()) {
-            if (!m_releasing && m_claiming && m_fence.claimable(watch) &&
-                BootClock::now() >= m_claimAfter && m_fence.claim(watch))
+            if (m_awaitingSuccessor)
+                findSuccessor();
+            else if (m_claiming && m_fence.claimable(watch) && BootClock::now() >= m_claimAfter &&
+                     m_fence.claim(watch))
                 loadAndServe(stop);
+            else if (m_claiming)
+                m_successor.prepare(watch, stop);
+            else
+                m_successor.resign();
+            const auto pause = m_awaitingSuccessor ? handoverInterval : m_successor.interval();
             std::unique_lock lock(m_mutex);
-            m_work.wait_for(lock, watchInterval, [&] { return stop.stop_requested(); });
+            m_work.wait_for(lock, pause, [&] { return stop.stop_requested(); });
         }
     }
 
+    /// Lets the polls of a released cell go once another process owns it.
+    void findSuccessor()
+    {
+        if (!m_fence.succeeded())
+            return;
+        const std::scoped_lock lock(m_mutex);
+        m_awaitingSuccessor = false;
+        m_changed.notify_all();
+    }
+
     /// Loads the cell and acts as its owner until another process takes it over or it is released.
     void loadAndServe(const std::stop_token &stop)
     {
@@ -212,18 +238,23 @@
             return;
         std::stop_source served;
         m_inboxRows.clear();
-        m_inbox = {};
-        RowFollower<Store> follower(
+        m_follower = std::make_unique<RowFollower<Store>>(
             m_store, cells::jobTable,
             [this, reads = served.get_token()] { return reloadJobs(reads); },
             [this](const Row &row) { receiveJobRow(row); },
             [this](BootTime asOf) { handOverJobRows(asOf); }, *inboxVersion);
-        InboxWriter<Store> inboxWriter(m_store, m_cell);
-        serve(stop, inboxWriter);
+        m_inboxWriter = std::make_unique<InboxWriter<Store>>(m_store, m_cell);
+        serve(stop);
         served.request_stop();
-        // Before follower and writer are destroyed, which may take as long as one of their calls.
-        const std::scoped_lock lock(m_mutex);
+        std::unique_lock lock(m_mutex);
         setState(State::Idle);
+        lock.unlock();
+        // Their destruction may take as long as one of their calls, in which a released cell is
+        // taken over by another process.
+        if (!m_releasing) {
+            m_follower.reset();
+            m_inboxWriter.reset();
+        }
     }
 
     /// Loads the cell on a thread of its own while this one renews the ownership, as a load may
@@ -239,7 +270,8 @@
         std::optional<StatusOr<CellLoad>> load; // guarded by m_mutex
         const BootTime deadline = BootClock::now() + m_loadTimeout;
         const std::jthread loader([&, epoch = m_epoch](const std::stop_token &loadStop) {
-            auto result = loadCell(m_store, m_metrics, m_cell, m_limits, epoch, deadline, loadStop);
+            auto result = loadCell(m_store, m_metrics, m_cell, m_limits, epoch,
+                                   m_successor.takeRows(), deadline, loadStop);
             const std::scoped_lock lock(m_mutex);
             load.emplace(std::move(result));
             m_work.notify_all();
@@ -303,22 +335,16 @@
     void receiveJobRow(const Row &row)
     {
         if (row.key.partition == cells::inbox(m_cell))
-            m_inboxRows.push_back(row);
+            m_inboxRows.add(row);
     }
 
-    /// Hands over the received rows. Does not wait for m_mutex, for which all agents compete: the
-    /// age of the inbox limits how long tasks may be started.
+    /// Applies the received rows unless m_mutex is taken: then serve() does, at the latest with the
+    /// next tick.
     void handOverJobRows(BootTime asOf)
     {
-        {
-            const std::scoped_lock lock(m_inboxMutex);
-            std::move(m_inboxRows.begin(), m_inboxRows.end(), std::back_inserter(m_inbox.rows));
-            m_inbox.asOf = asOf;
-        }
-        m_inboxRows.clear();
-        m_inboxPending = true;
+        m_inboxRows.handOver(asOf);
         const std::unique_lock lock(m_mutex, std::try_to_lock);
-        if (lock.owns_lock()) // else serve() applies them, at the latest with the next tick
+        if (lock.owns_lock())
             applyJobRows();
     }
 
@@ -326,23 +352,19 @@
     /// between a job and its cancellation.
     void applyJobRows()
     {
-        if (!m_inboxPending.exchange(false) || m_dispatcher == nullptr)
+        const auto inbox = m_dispatcher == nullptr ? std::nullopt : m_inboxRows.take();
+        if (!inbox)
             return;
-        Inbox inbox;
-        {
-            const std::scoped_lock lock(m_inboxMutex);
-            inbox = std::exchange(m_inbox, {});
-        }
-        for (const Row &row : inbox.rows)
+        for (const Row &row : inbox->rows)
             m_dispatcher->applyJobRow(row, BootClock::now());
-        m_dispatcher->setInboxTime(inbox.asOf);
-        if (inbox.rows.empty())
+        m_dispatcher->setInboxTime(inbox->asOf);
+        if (inbox->rows.empty())
             return;
         m_workPending = true;
         m_work.notify_all();
     }
 
-    void serve(const std::stop_token &stop, InboxWriter<Store> &inboxWriter)
+    void serve(const std::stop_token &stop)
     {
         BootTime nextTick = BootClock::now();
         while (true) {
@@ -354,11 +376,13 @@
                 const BootTime until = std::min(renewal, nextTick);
                 if (!m_workPending && until > now)
                     m_work.wait_for(lock, until - now, [&] {
-                        return m_workPending || m_inboxPending || m_releasing ||
+                        return m_workPending || m_inboxRows.isPending() || m_releasing ||
                                stop.stop_requested();
                     });
                 applyJobRows();
                 m_workPending = false;
+                m_releasing = m_releasing || readyToRelease();
+                m_awaitingSuccessor = m_releasing.load();
                 if (stop.stop_requested() || m_releasing)
                     break;
                 if (BootClock::now() >= nextTick) {
@@ -368,40 +392,32 @@
                     nextTick = BootClock::now() + tickInterval;
                 }
                 const BootTime placedAt = BootClock::now();
-                commit = prepareCommit(placedAt, m_dispatcher->canStartInTime(placedAt));
+                // The ends and phases of a cell that is released are left to its next owner.
+                if (!releasing() || m_dispatcher->hasStagedStarts())
+                    commit = prepareMeasuredCommit(
+                        *m_dispatcher, placedAt,
+                        !releasing() && m_dispatcher->canStartInTime(placedAt), m_metrics);
                 logEvents();
                 wakeAgents();
                 if (!commit && BootClock::now() < renewal)
                     continue;
             }
+            if (m_leaving)
+                m_fence.announceRelease();
             if (!commitUntilStored(stop, commit ? *commit : CellCommit{}))
                 return;
             if (commit && !commit->inboxWrites.empty())
-                inboxWriter.add(std::move(commit->inboxWrites));
+                m_inboxWriter->add(std::move(commit->inboxWrites));
         }
         m_fence.release();
     }
 
-    /// Requires m_mutex. Records how long the dispatcher takes and what its placement does.
-    std::optional<CellCommit> prepareCommit(BootTime now, bool mayPlace)
+    /// Requires m_mutex and a dispatcher.
+    bool readyToRelease() const
     {
-        const PlacementCounts before = m_dispatcher->placementCounts();
-        const auto started = std::chrono::steady_clock::now();
-        auto commit = m_dispatcher->prepareCommit(now, mayPlace);
-        const std::chrono::duration<double> seconds = std::chrono::steady_clock::now() - started;
-        const PlacementCounts &after = m_dispatcher->placementCounts();
-        m_metrics.observeSeconds("lavender_prepare_commit_seconds", seconds.count());
-        if (after == before)
-            return commit;
-        const auto count = [this](const char *name, std::int64_t amount) {
-            m_metrics.increment(name, {}, static_cast<double>(amount));
-        };
-        count("lavender_placement_passes", after.passes - before.passes);
-        count("lavender_placement_jobs", after.jobs - before.jobs);
-        count("lavender_placement_searches", after.searches - before.searches);
-        count("lavender_placement_minions", after.minions - before.minions);
-        count("lavender_placement_placed", after.placed - before.placed);
-        return commit;
+        const BootTime now = BootClock::now();
+        return releasing() && (now >= m_releaseBy.load() ||
+                               !m_dispatcher->hasUndeliveredStarts(now - deliveryHeardTime));
     }
 
     /// Repeats the commit until it is stored (true). False when another owner has written the owner
@@ -415,7 +431,8 @@
             if (outcome == OwnerFence<Store>::Outcome::Stored)
                 break;
             const bool lost = outcome == OwnerFence<Store>::Outcome::Lost;
-            if (lost || stop.stop_requested() || m_releasing) {
+            const bool late = BootClock::now() - ownershipCallTimeout >= m_releaseBy.load();
+            if (lost || stop.stop_requested() || m_releasing || late) {
                 logEvent(LogLevel::Warning, "cell",
                          "another owner took over the cell, or this process is stopping",
                          {{"cell", m_cell},
@@ -453,19 +470,15 @@
     const std::string m_owner;
     const DispatchLimits m_limits;
     const Milliseconds m_loadTimeout;
-    OwnerFence<Store> m_fence;    // used by the thread only, except for its renewedAt()
-    BootTime m_claimAfter{};      // used by the thread only
-    std::vector<Row> m_inboxRows; // received and not applied; used by the follower's thread only
-
-    std::mutex m_inboxMutex;                 // may be locked while m_mutex is held
-    Inbox m_inbox;                           // handed over and not applied; guarded by m_inboxMutex
-    std::atomic<bool> m_inboxPending{false}; // m_inbox is to be applied
+    OwnerFence<Store> m_fence;        // used by the thread only, except for its renewedAt()
+    CellSuccessor<Store> m_successor; // used by the thread only, and by the loader
+    BootTime m_claimAfter{};          // used by the thread only
+    InboxRows m_inboxRows;            // received from m_follower and not applied
 
     mutable std::mutex m_mutex;
-    std::condition_variable m_work;    // wakes the thread
-    std::condition_variable m_changed; // signals a change of m_state
-    /// By agent: wakes its blocked call; guarded by m_mutex.
-    std::map<std::string, std::unique_ptr<std::condition_variable>> m_waiters;
+    std::condition_variable m_work;                // wakes the thread
+    std::condition_variable m_changed;             // signals a change of m_state
+    AgentWaiters m_waiters;                        // guarded by m_mutex
     State m_state = State::Idle;                   // guarded by m_mutex
     std::int64_t m_epoch = 0;                      // of the newest ownership; guarded by m_mutex
     std::unique_ptr<CellDispatcher> m_dispatcher;  // null unless Serving; guarded by m_mutex
@@ -474,8 +487,13 @@
     BootTime m_evacuationsTime{};                  // guarded by m_mutex
     bool m_workPending = false;                    // guarded by m_mutex
     std::atomic<bool> m_claiming{true};
-    std::atomic<bool> m_releasing{false};
-    std::jthread m_thread; // declared last, so joined first
+    std::atomic<bool> m_leaving{false};
+    std::atomic<BootTime> m_releaseBy{BootTime::max()}; ///< end of the wait for agents
+    std::atomic<bool> m_releasing{false};               ///< grants and orders nothing any more
+    std::atomic<bool> m_awaitingSuccessor{false};       ///< released, and not taken over yet
+    std::unique_ptr<RowFollower<Store>> m_follower;     // used by the thread only
+    std::unique_ptr<InboxWriter<Store>> m_inboxWriter;  // used by the thread only
+    std::jthread m_thread;                              // declared last, so joined first
 };
 
 } // namespace lavenderarch
