Answer an agent's report with the orders that follow it

Cause: an end and the start that follows it took two messages, a report and the poll after the order.

Change: a report may wait at the owner like a poll. New orders answer the report and not the poll, and the next report ends the wait of the one before; HeldCalls decides. The agent lets a report wait only if the owner's last reply says that the next report ends the wait, so that agents and owners of both versions work together.

--- a/src/libdispatch/run_ledger.cpp
+++ b/src/libdispatch/run_ledger.cpp
@@ -114,6 +114,7 @@
     if (reply.grantMs > 0)
         m_grantUntil = std::max(m_grantUntil, sentAt + Milliseconds(reply.grantMs));
     const bool sameIncarnation = reply.incarnation == m_facts.incarnation;
+    m_ownerHoldsReports = reply.holdsReports;
     m_ownerHasSnapshot = sameIncarnation && reply.snapshotSeen > 0;
     if (sameIncarnation && reply.endsSeen > m_endsSeen && m_ends.count(reply.endsSeen) != 0)
         m_endsSeen = reply.endsSeen;
