End the poll beside a serving task when figures are due

Also what clang-tidy found: names of RequestReader's functions, which now override those of the parser's interface; a captured binding in a test; a constant that is returned.

--- a/src/include/lavenderarch/dispatch/run_ledger.h
+++ b/src/include/lavenderarch/dispatch/run_ledger.h
@@ -92,6 +92,7 @@
 
     /// The next message to the owner: brief if the owner has the current snapshot and that is not
     /// old, otherwise a snapshot. A brief message carries the ends that the owner may not know.
+    /// Beside a serving task it waits at most until the next snapshot is due.
     ExchangeRequest nextMessage(std::int64_t waitMs, BootTime now);
     /// A message with the current state and all unconfirmed ends.
     ExchangeRequest snapshot(std::int64_t waitMs);
--- a/src/include/lavenderarch/runtime/agent_loop.h
+++ b/src/include/lavenderarch/runtime/agent_loop.h
@@ -133,9 +133,9 @@
             if (stop.stop_requested())
                 return;
             const BootTime now = BootClock::now();
-            const std::int64_t waitMs = m_ledger.ownerHoldsReports() ? pollWaitMs : 0;
-            ExchangeRequest request = m_ledger.nextMessage(waitMs, now);
+            ExchangeRequest request = m_ledger.nextMessage(0, now);
             request.report = true;
+            request.waitMs = m_ledger.ownerHoldsReports() ? pollWaitMs : 0;
             // A failed report is not repeated: the next poll carries the same content.
             exchange(lock, request, now, reportTimeout);
         }
--- a/src/libdispatch/exchange_text_test.cpp
+++ b/src/libdispatch/exchange_text_test.cpp
@@ -171,7 +171,8 @@
     // Replaces each value by one of each type.
     const Json whole = sampleSnapshot();
     const Json flat = whole.flatten();
-    for (const auto &[path, value] : flat.items()) {
+    for (const auto &entry : flat.items()) {
+        const std::string &path = entry.key();
         for (const Json &other : {Json(nullptr), Json(true), Json(7), Json(-1.5), Json("x"),
                                   Json::array({1}), Json::object({{"a", 1}})}) {
             CAPTURE(path);
--- a/src/libdispatch/request_reader.h
+++ b/src/libdispatch/request_reader.h
@@ -8,28 +8,30 @@
 
 namespace lavenderarch {
 
-/// Takes the events of the JSON parser, whose interface gives the names and arguments of the public
-/// functions. They return false, which ends the parsing, at anything that requestText() does not
-/// write, such as an unknown key or a value of another type.
-class RequestReader
+/// Takes the events of the JSON parser. The overrides return false, which ends the parsing, at
+/// anything that requestText() does not write, such as an unknown key or a value of another type.
+class RequestReader final : public Json::json_sax_t
 {
 public:
     /// Nothing if the text is not as requestText() writes it.
     static std::optional<ExchangeRequest> read(std::string_view text);
 
-    bool null() { return false; }
-    bool boolean(bool value);
-    bool number_integer(std::int64_t value);
-    bool number_unsigned(std::uint64_t value);
-    bool number_float(double, const std::string &) { return false; }
-    bool string(std::string &value);
-    bool binary(Json::binary_t &) { return false; }
-    bool start_object(std::size_t);
-    bool key(std::string &key);
-    bool end_object();
-    bool start_array(std::size_t);
-    bool end_array();
-    bool parse_error(std::size_t, const std::string &, const Json::exception &) { return false; }
+    bool null() override { return false; }
+    bool boolean(bool value) override;
+    bool number_integer(std::int64_t value) override;
+    bool number_unsigned(std::uint64_t value) override;
+    bool number_float(double, const std::string &) override { return false; }
+    bool string(std::string &value) override;
+    bool binary(Json::binary_t &) override { return false; }
+    bool start_object(std::size_t) override;
+    bool key(std::string &key) override;
+    bool end_object() override;
+    bool start_array(std::size_t) override;
+    bool end_array() override;
+    bool parse_error(std::size_t, const std::string &, const Json::exception &) override
+    {
+        return false;
+    }
 
 private:
     /// What the parser is in.
--- a/src/libdispatch/run_ledger.cpp
+++ b/src/libdispatch/run_ledger.cpp
@@ -333,13 +333,18 @@
 
 ExchangeRequest RunLedger::nextMessage(std::int64_t waitMs, BootTime now)
 {
-    if (!m_ownerHasSnapshot || m_snapshotDue || m_listedEpoch != m_epoch || now >= m_nextSnapshot) {
-        const bool serving = std::any_of(m_runs.begin(), m_runs.end(), [](const auto &entry) {
-            return entry.second.tailTargetMs > 0;
-        });
+    const bool serving = std::any_of(m_runs.begin(), m_runs.end(), [](const auto &entry) {
+        return entry.second.tailTargetMs > 0;
+    });
+    const bool snapshotNeeded =
+        !m_ownerHasSnapshot || m_snapshotDue || m_listedEpoch != m_epoch || now >= m_nextSnapshot;
+    if (snapshotNeeded)
         m_nextSnapshot = now + (serving ? servingSnapshotInterval : snapshotInterval);
+    // The reply to a poll leads to the next message, which is late if a report took the orders.
+    if (serving)
+        waitMs = std::min(waitMs, (m_nextSnapshot - now).count());
+    if (snapshotNeeded)
         return snapshot(waitMs);
-    }
     ExchangeRequest request = beginMessage(waitMs);
     request.brief = true;
     request.incarnation = m_facts.incarnation;
