--- a/src/include/lavenderarch/dispatch/exchange_reply.h
+++ b/src/include/lavenderarch/dispatch/exchange_reply.h
@@ -25,10 +25,6 @@
     std::int64_t snapshotSeen = 0;
     std::vector<TailWeight> weights; ///< weights of the tail model for the images on the minion
 
-    /// The owner delays the reply to a report until it has an order or the next report. Missing
-    /// from an owner that would also delay it after the next report.
-    bool holdsReports = false;
-
     friend bool operator==(const ExchangeReply &, const ExchangeReply &) = default;
 };
 
--- a/src/include/lavenderarch/dispatch/exchange_request.h
+++ b/src/include/lavenderarch/dispatch/exchange_request.h
@@ -34,14 +34,11 @@
     bool brief = false;
     MinionIncarnation incarnation; ///< of a brief message: what its runs and ends refer to
     std::int64_t snapshot = 0;     ///< of a brief message: number of the snapshot it builds on
-    /// The agent has a poll with the owner besides this message.
-    bool report = false;
 
     friend bool operator==(const ExchangeRequest &, const ExchangeRequest &) = default;
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(ExchangeRequest, agent, session, number, epoch,
                                                 registered, listed, reachable, facts, runs, ends,
-                                                orderSeen, waitMs, brief, incarnation, snapshot,
-                                                report)
+                                                orderSeen, waitMs, brief, incarnation, snapshot)
 };
 
 /// The request as JSON without the members that have their default value, also of its ends. Reading
--- a/src/include/lavenderarch/dispatch/minion_view.h
+++ b/src/include/lavenderarch/dispatch/minion_view.h
@@ -30,9 +30,8 @@
     std::int64_t snapshot = 0; ///< newest snapshot of this session and minion; 0: none applied
     bool snapshotDue = false;  ///< the next reply asks for a snapshot
     std::int64_t nextOrder = 1;
-    std::deque<RunOrder> outbox; ///< orders that the agent has not confirmed
-    std::int64_t ordersSent = 0; ///< newest order in a reply that the agent may still get
-    std::set<RunKey> runs;       ///< runs of Placed and Stopping tasks on the minion
+    std::deque<RunOrder> outbox;                ///< orders that the agent has not confirmed
+    std::set<RunKey> runs;                      ///< runs of Placed and Stopping tasks on the minion
     std::map<RunKey, Resources> unexpectedRuns; ///< reported runs not in `runs`, with their demand
     std::set<RunKey> unexpectedStopped;         ///< unexpected runs for which a stop was ordered
 
--- a/src/include/lavenderarch/dispatch/run_ledger.h
+++ b/src/include/lavenderarch/dispatch/run_ledger.h
@@ -92,14 +92,11 @@
 
     /// The next message to the owner: brief if the owner has the current snapshot and that is not
     /// old, otherwise a snapshot. A brief message carries the ends that the owner may not know.
-    /// Beside a serving task it waits at most until the next snapshot is due.
     ExchangeRequest nextMessage(std::int64_t waitMs, BootTime now);
     /// A message with the current state and all unconfirmed ends.
     ExchangeRequest snapshot(std::int64_t waitMs);
     /// A message got no reply or an error, so that the owner may not have it.
     void exchangeFailed();
-    /// True when a report may wait for an order, as the owner answers it at the next report.
-    bool ownerHoldsReports() const { return m_ownerHoldsReports; }
     /// True when something changed since the last message that the owner must learn soon, such as
     /// an end.
     bool hasUnreportedChanges() const { return m_unreportedChanges; }
@@ -141,7 +138,6 @@
     bool m_reachable = false;
     bool m_unreportedChanges = false;
     bool m_ownerHasSnapshot = false;   // the last reply allows brief messages
-    bool m_ownerHoldsReports = false;  // by the last reply
     bool m_snapshotDue = true;         // brief messages cannot report what has changed
     std::int64_t m_snapshotNumber = 0; // of the newest snapshot
     BootTime m_nextSnapshot{};
--- a/src/include/lavenderarch/runtime/agent_loop.h
+++ b/src/include/lavenderarch/runtime/agent_loop.h
@@ -43,8 +43,6 @@
 inline constexpr Milliseconds orderRetryPause{60};
 /// A run whose start is still unanswered after this time is stopped instead.
 inline constexpr Milliseconds startTimeout{3000};
-/// The owner may hold one report until it has an order, while the next one is sent.
-inline constexpr int reportThreads = 2;
 /// Number of orders sent to the minion concurrently.
 inline constexpr int orderThreads = 4;
 
@@ -65,8 +63,7 @@
         , m_ledger(std::move(agent), std::move(session))
     {
         m_threads.emplace_back([this](const std::stop_token &stop) { poll(stop); });
-        for (int index = 0; index < reportThreads; ++index)
-            m_threads.emplace_back([this](const std::stop_token &stop) { report(stop); });
+        m_threads.emplace_back([this](const std::stop_token &stop) { report(stop); });
         m_threads.emplace_back([this](const std::stop_token &stop) { renew(stop); });
         for (int index = 0; index < orderThreads; ++index)
             m_threads.emplace_back([this](const std::stop_token &stop) { executeOrders(stop); });
@@ -114,10 +111,7 @@
     void poll(const std::stop_token &stop)
     {
         while (!stop.stop_requested()) {
-            std::unique_lock lock(m_mutex);
-            const BootTime now = BootClock::now();
-            const ExchangeRequest request = m_ledger.nextMessage(pollWaitMs, now);
-            if (!exchange(lock, request, now, pollSlack))
+            if (!exchange(pollWaitMs, pollSlack))
                 findOwner();
             else if (!registered())
                 std::this_thread::sleep_for(lookupPause);
@@ -127,32 +121,35 @@
     void report(const std::stop_token &stop)
     {
         while (!stop.stop_requested()) {
-            std::unique_lock lock(m_mutex);
-            m_reportNeeded.wait(
-                lock, [&] { return stop.stop_requested() || m_ledger.hasUnreportedChanges(); });
-            if (stop.stop_requested())
-                return;
-            const BootTime now = BootClock::now();
-            ExchangeRequest request = m_ledger.nextMessage(0, now);
-            request.report = true;
-            request.waitMs = m_ledger.ownerHoldsReports() ? pollWaitMs : 0;
+            {
+                std::unique_lock lock(m_mutex);
+                m_reportNeeded.wait(
+                    lock, [&] { return stop.stop_requested() || m_ledger.hasUnreportedChanges(); });
+                if (stop.stop_requested())
+                    return;
+            }
             // A failed report is not repeated: the next poll carries the same content.
-            exchange(lock, request, now, reportTimeout);
+            exchange(0, reportTimeout);
         }
     }
 
-    /// Sends the request and applies the reply; false without a valid one. Releases the lock.
-    bool exchange(std::unique_lock<std::mutex> &lock, const ExchangeRequest &request,
-                  BootTime sentAt, Milliseconds slack)
+    bool exchange(std::int64_t waitMs, Milliseconds slack)
     {
-        const std::optional<Address> owner = m_owner;
-        lock.unlock();
+        ExchangeRequest request;
+        std::optional<Address> owner;
+        BootTime sentAt{};
+        {
+            const std::scoped_lock lock(m_mutex);
+            owner = m_owner;
+            sentAt = BootClock::now();
+            request = m_ledger.nextMessage(waitMs, sentAt);
+        }
         if (!owner)
             return false;
         const auto reply =
-            m_channel.send(*owner, m_cell, request, sentAt + Milliseconds(request.waitMs) + slack);
-        const std::scoped_lock relock(m_mutex);
-        if (reply.ok() != m_connected && (reply.ok() || !request.report)) {
+            m_channel.send(*owner, m_cell, request, sentAt + Milliseconds(waitMs) + slack);
+        const std::scoped_lock lock(m_mutex);
+        if (reply.ok() != m_connected && (reply.ok() || waitMs > 0)) {
             m_connected = reply.ok();
             if (m_connected)
                 logEvent(LogLevel::Info, "agent", "connected to the cell's owner",
--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -1,7 +1,6 @@
 // Watches the ownership of one cell, takes it over when allowed and runs its CellDispatcher.
 #pragma once
 
-#include "lavenderarch/dispatch/held_calls.h"
 #include "lavenderarch/dispatch/queue_catalog.h"
 #include "lavenderarch/runtime/cell_load.h"
 #include "lavenderarch/runtime/owner_fence.h"
@@ -112,19 +111,13 @@
             m_workPending = true;
             m_work.notify_all();
         }
-        AgentCalls &calls = m_calls[request.agent];
-        const HeldCalls::Call call = calls.held.begin(request.report);
-        if (request.report)
-            calls.reports.notify_all();
-        while (m_dispatcher != nullptr && m_epoch == epoch && !waited) {
+        while (m_dispatcher != nullptr && m_epoch == epoch && !waited &&
+               !m_dispatcher->hasOrders(request.agent)) {
             const BootTime now = BootClock::now();
-            if (now >= until || m_releasing || calls.held.replaced(call, request.report) ||
-                (calls.held.getsOrders(call, request.report) &&
-                 m_dispatcher->hasOrders(request.agent)))
+            if (now >= until || m_releasing)
                 break;
-            (request.report ? calls.reports : calls.polls).wait_for(lock, until - now);
+            waiterOf(request.agent).wait_for(lock, until - now);
         }
-        calls.held.end(call);
         if (m_dispatcher == nullptr || m_epoch != epoch)
             return notOwner();
         return m_dispatcher->reply(request.agent, arrived, ownershipValid());
@@ -137,12 +130,6 @@
     }
 
 private:
-    struct AgentCalls
-    {
-        HeldCalls held;
-        std::condition_variable polls;   // wakes the agent's polls
-        std::condition_variable reports; // wakes its reports
-    };
     enum class State {
         Idle,    ///< not the owner
         Loading, ///< the owner, but the dispatcher is not rebuilt yet
@@ -174,16 +161,21 @@
         return makeError(ErrorKind::StaleCommand, "this process does not own cell " + m_cell);
     }
 
+    /// Requires m_mutex.
+    std::condition_variable &waiterOf(const std::string &agent)
+    {
+        auto &waiter = m_waiters[agent];
+        if (waiter == nullptr)
+            waiter = std::make_unique<std::condition_variable>();
+        return *waiter;
+    }
+
     /// Requires m_mutex. Wakes the blocked calls of agents that have orders, or all of them.
     void wakeAgents(bool all)
     {
-        for (auto &[agent, calls] : m_calls) {
-            if (!all && !m_dispatcher->hasOrders(agent))
-                continue;
-            if (all || !calls.held.holdsReport())
-                calls.polls.notify_all();
-            if (all || calls.held.holdsReport())
-                calls.reports.notify_all();
+        for (const auto &[agent, waiter] : m_waiters) {
+            if (all || m_dispatcher->hasOrders(agent))
+                waiter->notify_all();
         }
     }
 
@@ -447,9 +439,10 @@
     std::vector<Row> m_inboxRows; // received and not applied; used by the follower's thread only
 
     mutable std::mutex m_mutex;
-    std::condition_variable m_work;                // wakes the thread
-    std::condition_variable m_changed;             // signals a change of m_state
-    std::map<std::string, AgentCalls> m_calls;     // by agent; guarded by m_mutex
+    std::condition_variable m_work;    // wakes the thread
+    std::condition_variable m_changed; // signals a change of m_state
+    /// By agent: wakes its blocked call; guarded by m_mutex.
+    std::map<std::string, std::unique_ptr<std::condition_variable>> m_waiters;
     State m_state = State::Idle;                   // guarded by m_mutex
     std::int64_t m_epoch = 0;                      // of the newest ownership; guarded by m_mutex
     std::unique_ptr<CellDispatcher> m_dispatcher;  // null unless Serving; guarded by m_mutex
--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -54,8 +54,6 @@
         return;
     }
     view.snapshot = 0;
-    // A failed message is followed by a snapshot, so a reply may have been lost.
-    view.ordersSent = 0;
     if (!request.registered) {
         view.registered = false;
         return;
@@ -127,9 +125,6 @@
         if (order.kind == OrderKind::Start)
             order.startWithinMs = startWithinMs(view, arrived);
     }
-    if (!view.outbox.empty())
-        view.ordersSent = view.outbox.back().sequence;
-    reply.holdsReports = true;
     reply.snapshotSeen = std::exchange(view.snapshotDue, false) ? 0 : view.snapshot;
     if (std::exchange(view.weightsDue, false))
         reply.weights = tailWeights(view, m_tailModel);
@@ -138,12 +133,10 @@
 
 bool CellDispatcher::hasOrders(const std::string &agent) const
 {
-    const auto found = m_minions.find(agent);
-    if (found == m_minions.end())
-        return false;
-    const MinionView &view = found->second;
-    const bool unsent = !view.outbox.empty() && view.outbox.back().sequence > view.ordersSent;
-    return unsent || !view.absentSeen.empty() || view.snapshotDue;
+    const auto view = m_minions.find(agent);
+    return view != m_minions.end() &&
+           (!view->second.outbox.empty() || !view->second.absentSeen.empty() ||
+            view->second.snapshotDue);
 }
 
 void CellDispatcher::beginSession(MinionView &view, const ExchangeRequest &request)
@@ -155,7 +148,6 @@
     view.snapshot = 0;
     view.snapshotDue = false;
     view.nextOrder = 1;
-    view.ordersSent = 0;
     view.outbox.clear();
     view.absentSeen.clear();
     view.unexpectedStopped.clear();
--- a/src/libdispatch/dispatch_json.cpp
+++ b/src/libdispatch/dispatch_json.cpp
@@ -126,7 +126,6 @@
     out["orders"] = reply.orders;
     out["snapshotSeen"] = reply.snapshotSeen;
     out["weights"] = reply.weights;
-    out["holdsReports"] = reply.holdsReports;
 }
 
 void from_json(const Json &in, ExchangeReply &reply)
@@ -140,7 +139,6 @@
     reply.orders = in.value("orders", defaults.orders);
     reply.snapshotSeen = in.value("snapshotSeen", defaults.snapshotSeen);
     reply.weights = in.value("weights", defaults.weights);
-    reply.holdsReports = in.value("holdsReports", defaults.holdsReports);
 }
 
 } // namespace lavenderarch
--- a/src/libdispatch/end_delivery_test.cpp
+++ b/src/libdispatch/end_delivery_test.cpp
@@ -2,7 +2,6 @@
 #include "lavenderarch/core/random.h"
 #include "lavenderarch/dispatch/cell_dispatcher.h"
 #include "lavenderarch/dispatch/cell_tables.h"
-#include "lavenderarch/dispatch/held_calls.h"
 #include "lavenderarch/dispatch/queue_catalog.h"
 #include "lavenderarch/dispatch/run_ledger.h"
 
@@ -264,48 +263,3 @@
         CHECK(delivery.ledger.endsSeen() == ended);
     }
 }
-
-// Each of an agent's calls that the owner held was answered with the same orders.
-TEST_CASE("orders in a reply are not due again until a snapshot shows that they were lost")
-{
-    Delivery delivery;
-    JobSpec job;
-    job.id = "more";
-    job.service = "svc";
-    job.queue = "q";
-    job.steps.emplace_back();
-    delivery.owner->applyJobRow({cells::jobKey("svc", job.id), Json(job).dump(), 1, false},
-                                delivery.now);
-    delivery.store();
-    REQUIRE(delivery.owner->hasOrders("agent"));
-    const ExchangeReply lost = delivery.owner->reply("agent", delivery.now, true);
-    CHECK(lost.orders.size() == 1);
-    CHECK_FALSE(delivery.owner->hasOrders("agent"));
-    delivery.owner->handleRequest(delivery.message(), delivery.now, true);
-    CHECK_FALSE(delivery.owner->hasOrders("agent"));
-    delivery.ledger.exchangeFailed();
-    delivery.owner->handleRequest(delivery.message(), delivery.now, true);
-    CHECK(delivery.owner->hasOrders("agent"));
-    CHECK(delivery.owner->reply("agent", delivery.now, true).orders == lost.orders);
-}
-
-// New orders answered the poll, so that an end and a start took a report and a poll.
-TEST_CASE("new orders answer the newest report, and the poll if there is none")
-{
-    HeldCalls calls;
-    const HeldCalls::Call poll = calls.begin(false);
-    CHECK(calls.getsOrders(poll, false));
-    const HeldCalls::Call first = calls.begin(true);
-    CHECK_FALSE(calls.getsOrders(poll, false));
-    CHECK(calls.getsOrders(first, true));
-    CHECK_FALSE(calls.replaced(first, true));
-    const HeldCalls::Call second = calls.begin(true);
-    CHECK(calls.replaced(first, true));
-    CHECK_FALSE(calls.replaced(poll, false));
-    CHECK_FALSE(calls.getsOrders(first, true));
-    CHECK(calls.getsOrders(second, true));
-    calls.end(first);
-    CHECK_FALSE(calls.getsOrders(poll, false));
-    calls.end(second);
-    CHECK(calls.getsOrders(poll, false));
-}
--- a/src/libdispatch/exchange_test.cpp
+++ b/src/libdispatch/exchange_test.cpp
@@ -166,27 +166,3 @@
     CHECK_FALSE(read.registered);
     CHECK(read.reachable);
 }
-
-// Figures of serving tasks came later once orders no longer ended the wait of each poll.
-TEST_CASE("a poll beside a serving task ends when the next snapshot is due")
-{
-    Exchange plain(3);
-    (void)plain.ledger.snapshot(0);
-    CHECK(plain.ledger.nextMessage(900, start + Milliseconds(100)).waitMs == 900);
-
-    Exchange serving(3);
-    ExchangeReply reply = serving.owner.reply("agent", start, true);
-    reply.orders.emplace_back();
-    reply.orders[0].sequence = 1000;
-    reply.orders[0].run = {"serve.0.0.0", 1};
-    reply.orders[0].tailTargetMs = 9;
-    serving.ledger.applyReply(reply, start, start);
-    serving.ledger.exchangeFailed();
-    const ExchangeRequest snapshot = serving.ledger.nextMessage(900, start);
-    CHECK_FALSE(snapshot.brief);
-    CHECK(snapshot.waitMs == 450);
-    serving.deliver(snapshot);
-    const ExchangeRequest poll = serving.ledger.nextMessage(900, start + Milliseconds(100));
-    CHECK(poll.brief);
-    CHECK(poll.waitMs == 350);
-}
--- a/src/libdispatch/exchange_text.cpp
+++ b/src/libdispatch/exchange_text.cpp
@@ -102,8 +102,6 @@
     text.add("endsSeen", reply.endsSeen, defaults.endsSeen);
     text.add("epoch", reply.epoch, defaults.epoch);
     text.add("grantMs", reply.grantMs, defaults.grantMs);
-    if (reply.holdsReports)
-        text.member("holdsReports") += "true";
     if (reply.incarnation != defaults.incarnation) {
         text.member("life").append(R"({"bornMs":)");
         out.append(std::to_string(reply.incarnation.bornMs)).append(R"(,"id":)");
--- a/src/libdispatch/exchange_text_test.cpp
+++ b/src/libdispatch/exchange_text_test.cpp
@@ -43,7 +43,6 @@
     reply.orders = {startOrder, stop, full};
     reply.snapshotSeen = 8;
     reply.weights = {{"b", "s", 1.5}, {"b2", "s", -0.1}};
-    reply.holdsReports = true;
     return reply;
 }
 
@@ -119,7 +118,6 @@
                     {4, {"j.0.0.5", 1}, RunOutcome::Done, "", ""}};
     request.orderSeen = 17;
     request.waitMs = 900;
-    request.report = true;
     return request;
 }
 
--- a/src/libdispatch/json_keys_test.cpp
+++ b/src/libdispatch/json_keys_test.cpp
@@ -154,11 +154,9 @@
     reply.orders = {sampleOrder()};
     reply.snapshotSeen = 8;
     reply.weights = {{"b", "s", 1.5}};
-    reply.holdsReports = true;
     const std::string text =
-        std::string(
-            R"({"absentSeen":[{"number":1,"task":"j.0.0.1"}],"endsSeen":5,"epoch":4,)"
-            R"("grantMs":6000,"holdsReports":true,"life":{"bornMs":99,"id":"m"},"orders":[)") +
+        std::string(R"({"absentSeen":[{"number":1,"task":"j.0.0.1"}],"endsSeen":5,"epoch":4,)"
+                    R"("grantMs":6000,"life":{"bornMs":99,"id":"m"},"orders":[)") +
         sampleOrderText +
         R"(],"snapshotSeen":8,"weights":[{"filling":"b","serving":"s","weight":1.5}]})";
     checkRoundTrip(reply, text.c_str());
--- a/src/libdispatch/request_reader.cpp
+++ b/src/libdispatch/request_reader.cpp
@@ -111,7 +111,7 @@
     if (part() == Part::Request)
         return assign(m_key, value, Flag{"registered", m_request.registered},
                       Flag{"listed", m_request.listed}, Flag{"reachable", m_request.reachable},
-                      Flag{"brief", m_request.brief}, Flag{"report", m_request.report});
+                      Flag{"brief", m_request.brief});
     if (part() == Part::Facts)
         return assign(m_key, value, Flag{"draining", m_request.facts.draining});
     if (part() != Part::Run)
--- a/src/libdispatch/run_ledger.cpp
+++ b/src/libdispatch/run_ledger.cpp
@@ -114,7 +114,6 @@
     if (reply.grantMs > 0)
         m_grantUntil = std::max(m_grantUntil, sentAt + Milliseconds(reply.grantMs));
     const bool sameIncarnation = reply.incarnation == m_facts.incarnation;
-    m_ownerHoldsReports = reply.holdsReports;
     m_ownerHasSnapshot = sameIncarnation && reply.snapshotSeen > 0;
     if (sameIncarnation && reply.endsSeen > m_endsSeen && m_ends.count(reply.endsSeen) != 0)
         m_endsSeen = reply.endsSeen;
@@ -333,18 +332,13 @@
 
 ExchangeRequest RunLedger::nextMessage(std::int64_t waitMs, BootTime now)
 {
-    const bool serving = std::any_of(m_runs.begin(), m_runs.end(), [](const auto &entry) {
-        return entry.second.tailTargetMs > 0;
-    });
-    const bool snapshotNeeded =
-        !m_ownerHasSnapshot || m_snapshotDue || m_listedEpoch != m_epoch || now >= m_nextSnapshot;
-    if (snapshotNeeded)
+    if (!m_ownerHasSnapshot || m_snapshotDue || m_listedEpoch != m_epoch || now >= m_nextSnapshot) {
+        const bool serving = std::any_of(m_runs.begin(), m_runs.end(), [](const auto &entry) {
+            return entry.second.tailTargetMs > 0;
+        });
         m_nextSnapshot = now + (serving ? servingSnapshotInterval : snapshotInterval);
-    // The reply to a poll leads to the next message, which is late if a report took the orders.
-    if (serving)
-        waitMs = std::min(waitMs, (m_nextSnapshot - now).count());
-    if (snapshotNeeded)
         return snapshot(waitMs);
+    }
     ExchangeRequest request = beginMessage(waitMs);
     request.brief = true;
     request.incarnation = m_facts.incarnation;
