--- a/src/include/lavenderarch/dispatch/job_admission.h
+++ b/src/include/lavenderarch/dispatch/job_admission.h
@@ -11,8 +11,8 @@
 namespace lavenderarch {
 
 /// OK, or Overloaded with a time to retry after when the job, of which the first task starts after
-/// `wait`, is expected to be done too late. A job is admitted if its wait is unknown or if it has
-/// no objective.
+/// `wait`, is expected to be done so late that it is of no use (usefulObjectives). A job is
+/// admitted if its wait is unknown or if it has no objective.
 Status admitJob(std::optional<Milliseconds> wait, const QueuePolicy &queue, const JobSpec &job);
 
 } // namespace lavenderarch
--- a/src/libdispatch/job_admission.cpp
+++ b/src/libdispatch/job_admission.cpp
@@ -8,9 +8,6 @@
 namespace lavenderarch {
 namespace {
 
-/// A job is rejected if it is expected after this many times its objective. One less than
-/// usefulObjectives, since the wait for the first task leaves out those of the other tasks.
-constexpr int admittedObjectives = usefulObjectives - 1;
 /// Limit on Retry-After: a backlog may shrink faster than expected when the load ends.
 constexpr Milliseconds maxRetryAfter{10'000};
 
@@ -22,7 +19,7 @@
     if (!wait || !target)
         return absl::OkStatus();
     const Milliseconds expected = *wait + criticalPath(job);
-    const Milliseconds limit = admittedObjectives * *target;
+    const Milliseconds limit = usefulObjectives * *target;
     if (expected <= limit)
         return absl::OkStatus();
     const auto retryAfter =
