Do not reject jobs because a cell has no owner

Cause: while no process owns the cell, no job begins, and the measured rate fell with the time since the last begin.

Change: the rate is measured up to the last begin, which replaces the limit on the time since it.

--- a/src/libdispatch/backlog_meter.cpp
+++ b/src/libdispatch/backlog_meter.cpp
@@ -15,8 +15,6 @@
 /// Age at which an observation is no longer used. Entries follow the job states with calls that
 /// last up to a second.
 constexpr Milliseconds maxAge{1500};
-/// Time without any begin after which the cell may have no owner: takeovers take longer than 2.5 s.
-constexpr Milliseconds maxPause{2500};
 
 } // namespace
 
@@ -45,10 +43,10 @@
     const auto &[observations, lastBegin] = found->second;
     const Observation &first = observations.front();
     const Observation &last = observations.back();
-    const Milliseconds elapsed = last.at - first.at;
+    // Without the time since the last begin, as the cell may have no owner.
+    const Milliseconds elapsed = lastBegin - first.at;
     const std::int64_t jobs = last.backlog.begun - first.backlog.begun;
-    if (now - last.at > maxAge || now - lastBegin > maxPause || elapsed < minMeasurementTime ||
-        jobs < minJobs)
+    if (now - last.at > maxAge || elapsed < minMeasurementTime || jobs < minJobs)
         return std::nullopt;
     return elapsed * last.backlog.waiting / jobs;
 }
