Accept all jobs again, and give each priority a share for its overdue jobs

Overdue jobs keep their share of a pass, now for each priority that waits: it went to the most urgent one only, so that one job of it without room left the large jobs of all others to starve.

The HTTP server counts a request before its body is read, so that a stopping process does not end between the two (review).

--- a/src/include/lavenderarch/core/status.h
+++ b/src/include/lavenderarch/core/status.h
@@ -5,7 +5,6 @@
 
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
-#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -21,12 +20,6 @@
 /// Kind of an error status; Internal when it carries no kind. Requires !status.ok().
 ErrorKind kindOf(const Status &status);
 
-/// Adds to an error the time after which its caller should retry, in seconds.
-Status withRetryAfter(Status error, std::int64_t seconds);
-/// The time set by withRetryAfter(); else that of the error's kind, which is 0 if waiting does not
-/// help. Requires !status.ok().
-std::int64_t retryAfterSeconds(const Status &status);
-
 /// Message as std::string (absl's string_view is not std's in every build).
 std::string messageOf(const Status &status);
 
--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -154,7 +154,7 @@
     void placeWaiting(BootTime now);
     void updateWaiting(JobModel &job);
     void updateOverdueTime(JobModel &job);
-    int placeOverdue(BootTime now);
+    int placeOverdue(int priority, BootTime now);
     int placeJob(JobModel &job, BootTime now, int budget);
     int placeStep(JobModel &job, JobModel::WaitingStep &waiting, BootTime now, int budget);
     int placeGang(JobModel &job, JobModel::WaitingStep &waiting, BootTime now);
--- a/src/include/lavenderarch/dispatch/job_objective.h
+++ b/src/include/lavenderarch/dispatch/job_objective.h
@@ -9,9 +9,6 @@
 
 namespace lavenderarch {
 
-/// A job that is done later than this many times its objective is of no use to its caller.
-inline constexpr int usefulObjectives = 3;
-
 /// Declared duration of the longest chain of dependent steps.
 Milliseconds criticalPath(const JobSpec &job);
 
--- a/src/include/lavenderarch/runtime/job_acceptor.h
+++ b/src/include/lavenderarch/runtime/job_acceptor.h
@@ -58,13 +58,6 @@
         m_answered.notify_all();
     }
 
-    /// True while a call of accept() for the job is in progress.
-    bool isStoring(const std::string &job)
-    {
-        const std::scoped_lock lock(m_mutex);
-        return m_waiting.count(job) != 0;
-    }
-
     /// Blocks until the job is stored, is known to be stored already, or cannot be stored in time.
     /// OK: the job is stored, by this call or an earlier one. StoreUnavailable: this call has not
     /// stored it and never will. OutcomeUnknown: it may be stored, even after the call returns.
--- a/src/include/lavenderarch/runtime/job_frontend.h
+++ b/src/include/lavenderarch/runtime/job_frontend.h
@@ -1,8 +1,6 @@
 // Callers' operations on jobs: submit, query the state, cancel, and count pending jobs.
 #pragma once
 
-#include "lavenderarch/dispatch/backlog_meter.h"
-#include "lavenderarch/dispatch/job_admission.h"
 #include "lavenderarch/runtime/job_acceptor.h"
 #include "lavenderarch/runtime/job_state_cache.h"
 
@@ -10,8 +8,6 @@
 
 /// Timeout of one attempt to store a cancellation.
 inline constexpr Milliseconds cancelAttemptTimeout{500};
-/// Timeout of the check whether another entry has accepted a job. A job is accepted without it.
-inline constexpr Milliseconds acceptedCheckTimeout{500};
 
 /// Thread-safe. All state is in the store; the cache is a copy that follows it. Owns neither the
 /// store nor the cache, which must outlive it.
@@ -26,31 +22,14 @@
     {
     }
 
-    /// See JobAcceptor::accept. A job that has not been accepted yet is rejected with `admission`
-    /// unless that is OK.
-    Status submit(const JobSpec &job, BootTime deadline, const Status &admission = absl::OkStatus())
+    /// See JobAcceptor::accept.
+    Status submit(const JobSpec &job, BootTime deadline)
     {
         if (m_states.find(job.id))
             return absl::OkStatus();
-        if (!admission.ok() && isAbsent(job, deadline))
-            return admission;
         return m_acceptor.accept(job, deadline);
     }
 
-    /// Whether a new job is to be accepted, for submit().
-    Status admit(const QueuePolicy &queue, const JobSpec &job, BootTime now) const
-    {
-        const std::scoped_lock lock(m_meterMutex);
-        return admitJob(m_meter.wait(queue.name, now), queue, job);
-    }
-
-    /// Measures the backlogs. To be called whenever the cache is current.
-    void observeBacklogs(BootTime now)
-    {
-        const std::scoped_lock lock(m_meterMutex);
-        m_meter.observe(m_states.backlogs(), now);
-    }
-
     /// Applies a state row that was read from the store.
     void applyState(const Row &row)
     {
@@ -107,23 +86,9 @@
     std::int64_t pending(const std::string &queue) const { return m_states.pending(queue); }
 
 private:
-    /// True if the store does not have the job, so that a caller can be told that it never runs. An
-    /// earlier attempt of this entry may still store it.
-    bool isAbsent(const JobSpec &job, BootTime deadline)
-    {
-        if (m_acceptor.isStoring(job.id))
-            return false;
-        const auto row =
-            m_store.readOne(cells::jobKey(job.service, job.id),
-                            std::min(deadline, BootClock::now() + acceptedCheckTimeout));
-        return row.ok() && row->version == 0;
-    }
-
     Store &m_store;
     JobStateCache &m_states;
     JobAcceptor<Store> m_acceptor;
-    mutable std::mutex m_meterMutex;
-    BacklogMeter m_meter; // guarded by m_meterMutex
 };
 
 } // namespace lavenderarch
--- a/src/include/lavenderarch/runtime/job_state_cache.h
+++ b/src/include/lavenderarch/runtime/job_state_cache.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include "lavenderarch/dispatch/job_state_row.h"
-#include "lavenderarch/dispatch/queue_backlog.h"
 #include "lavenderarch/storage/row.h"
 
 #include <map>
@@ -25,8 +24,6 @@
     std::optional<JobStateRow> find(const std::string &job) const;
     /// Accepted jobs of the queue for which no task has started.
     std::int64_t pending(const std::string &queue) const;
-    /// By queue.
-    std::map<std::string, QueueBacklog> backlogs() const;
 
 private:
     struct Entry
@@ -40,9 +37,8 @@
     Jobs::iterator eraseLocked(Jobs::iterator job);
 
     mutable std::mutex m_mutex;
-    Jobs m_jobs;                                    // guarded by m_mutex
-    std::map<std::string, std::int64_t> m_pending;  // by queue; guarded by m_mutex
-    std::map<std::string, QueueBacklog> m_backlogs; // by queue; guarded by m_mutex
+    Jobs m_jobs;                                   // guarded by m_mutex
+    std::map<std::string, std::int64_t> m_pending; // by queue; guarded by m_mutex
 };
 
 } // namespace lavenderarch
--- a/src/libcore/status.cpp
+++ b/src/libcore/status.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr const char *kindPayload = "lavenderarch/kind";
-constexpr const char *retryAfterPayload = "lavenderarch/retry-after";
 
 } // namespace
 
@@ -29,19 +28,6 @@
     return errorKindFromName(std::string(*payload)).value_or(ErrorKind::Internal);
 }
 
-Status withRetryAfter(Status error, std::int64_t seconds)
-{
-    error.SetPayload(retryAfterPayload, absl::Cord(std::to_string(seconds)));
-    return error;
-}
-
-std::int64_t retryAfterSeconds(const Status &status)
-{
-    if (const auto payload = status.GetPayload(retryAfterPayload))
-        return std::stoll(std::string(*payload));
-    return errorDescriptor(kindOf(status)).retryAfterSeconds;
-}
-
 std::string messageOf(const Status &status)
 {
     const auto message = status.message();
--- a/src/libdispatch/cell_dispatcher_overdue.cpp
+++ b/src/libdispatch/cell_dispatcher_overdue.cpp
@@ -9,11 +9,11 @@
 namespace lavenderarch {
 namespace {
 
-/// A job is overdue after this many times its objective: it missed its objective, but can still be
-/// done while it is of use (usefulObjectives).
+/// A job is overdue after this many times its objective; one that is done before three times its
+/// objective is still of some use to its caller.
 constexpr int overdueObjectives = 2;
-/// Tasks of overdue jobs that one pass places first. A small part of a pass, so that under overload
-/// most jobs are still served in time.
+/// Tasks of overdue jobs of each priority that one pass places first. A small part of a pass, so
+/// that under overload most jobs are still served in time.
 constexpr int maxOverduePlacementsPerPass = 15;
 /// Overdue jobs that one pass tries for that.
 constexpr int maxOverdueJobsPerPass = 20;
@@ -37,12 +37,9 @@
     m_overdueTimes.emplace(spec.priority, job.overdueAt(), spec.id);
 }
 
-/// Returns the number of placed tasks.
-int CellDispatcher::placeOverdue(BootTime now)
+/// Places tasks of overdue jobs of `priority`. Returns the number of placed tasks.
+int CellDispatcher::placeOverdue(int priority, BootTime now)
 {
-    if (m_waitingJobs.empty())
-        return 0;
-    const int priority = std::get<0>(m_waitingJobs.begin()->first);
     int placed = 0;
     int tried = 0;
     for (auto next = m_overdueTimes.lower_bound({priority, BootTime::min(), ""});
--- a/src/libdispatch/cell_dispatcher_placement.cpp
+++ b/src/libdispatch/cell_dispatcher_placement.cpp
@@ -5,6 +5,7 @@
 #include "placement.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace lavenderarch {
 namespace {
@@ -104,11 +105,18 @@
     if (m_catalog == nullptr)
         return;
     ++m_placementCounts.passes;
-    int budget = maxPlacementsPerPass - placeOverdue(now);
+    int budget = maxPlacementsPerPass;
     // Where no minion has gained room, only jobs that have changed can be placed.
     const std::int64_t roomVersion = m_roomVersion;
     auto &jobs = roomVersion == m_triedRoomVersion ? m_untriedJobs : m_waitingJobs;
+    std::optional<int> level; // priority whose overdue jobs have had their share
     for (auto next = jobs.begin(); next != jobs.end();) {
+        if (const int priority = std::get<0>(next->first); level != priority) {
+            level = priority;
+            budget -= placeOverdue(priority, now);
+            next = jobs.lower_bound({priority, std::numeric_limits<std::int64_t>::min(), 0, ""});
+            continue; // entries have changed
+        }
         JobModel &job = *(next++)->second; // markDirty() removes or replaces the entry of the job
         if (!m_catalog->serves(job.spec().service))
             continue;
--- a/src/libhttp/http_message.cpp
+++ b/src/libhttp/http_message.cpp
@@ -69,8 +69,8 @@
                      {{"error", {{"kind", descriptor.name}, {"message", messageOf(error)}}}});
     response.headers.set(header::errorKind, std::string(descriptor.name));
     response.headers.set(header::outcome, std::string(outcomeName(descriptor.outcome)));
-    if (const std::int64_t seconds = retryAfterSeconds(error); seconds > 0)
-        response.headers.set(header::retryAfter, std::to_string(seconds));
+    if (descriptor.retryAfterSeconds > 0)
+        response.headers.set(header::retryAfter, std::to_string(descriptor.retryAfterSeconds));
     return response;
 }
 
--- a/src/libhttp/http_server.cpp
+++ b/src/libhttp/http_server.cpp
@@ -62,6 +62,23 @@
     return request;
 }
 
+/// Counts a request from construction to destruction.
+class ActiveRequest
+{
+public:
+    explicit ActiveRequest(std::atomic<int> &count)
+        : m_count(count)
+    {
+        ++m_count;
+    }
+    ~ActiveRequest() { --m_count; }
+    ActiveRequest(const ActiveRequest &) = delete;
+    ActiveRequest &operator=(const ActiveRequest &) = delete;
+
+private:
+    std::atomic<int> &m_count;
+};
+
 } // namespace
 
 struct HttpServer::Impl
@@ -74,6 +91,9 @@
 
     int serve(mg_connection *connection)
     {
+        // Counted before the body is read, so that a process that waits for its requests does not
+        // end between the two.
+        const ActiveRequest counted(active);
         const mg_request_info *info = mg_get_request_info(connection);
         HttpRequest request = parseRequestHead(*info);
         const bool chunked = request.headers.find("Transfer-Encoding").has_value();
@@ -91,12 +111,10 @@
             mg_disable_connection_keep_alive(connection);
             return 413;
         }
-        ++active;
         const HttpResponse response = handler(request);
         const bool dropConnection = response.status == dropConnectionStatus;
         if (dropConnection || !writeResponse(connection, response, draining))
             mg_disable_connection_keep_alive(connection);
-        --active;
         return dropConnection ? 500 : response.status;
     }
 };
--- a/src/libhttp/http_test.cpp
+++ b/src/libhttp/http_test.cpp
@@ -90,14 +90,6 @@
     CHECK(errorFromResponse(HttpResponse{}).ok());
 }
 
-TEST_CASE("an error response states the time to retry after that the error carries")
-{
-    const Status error = withRetryAfter(makeError(ErrorKind::Overloaded, "full"), 4);
-    CHECK(errorResponse(error).headers.find(header::retryAfter) == "4");
-    CHECK(errorResponse(makeError(ErrorKind::NotFound, "no")).headers.find(header::retryAfter) ==
-          std::nullopt);
-}
-
 TEST_CASE("query parameters are decoded")
 {
     const HttpRequest request{"GET", "/", "a=1&name=two%20words", {}, ""};
--- a/src/libruntime/job_state_cache.cpp
+++ b/src/libruntime/job_state_cache.cpp
@@ -41,26 +41,17 @@
         logFailure("states", "cannot parse the state row", state.status(), {{"job", row.key.key}});
         return;
     }
-    if (known != m_jobs.end()) {
-        const bool waited = known->second.state.phase == JobPhase::Queued;
-        if (waited && !state->timed && state->phase != JobPhase::Queued)
-            ++m_backlogs[state->queue].begun;
+    if (known != m_jobs.end())
         eraseLocked(known);
-    }
     m_jobs[row.key.key] = {*state, row.version};
-    if (state->phase == JobPhase::Queued) {
+    if (state->phase == JobPhase::Queued)
         ++m_pending[state->queue];
-        m_backlogs[state->queue].waiting += state->timed ? 0 : 1;
-    }
 }
 
 JobStateCache::Jobs::iterator JobStateCache::eraseLocked(Jobs::iterator job)
 {
-    const JobStateRow &state = job->second.state;
-    if (state.phase == JobPhase::Queued) {
-        --m_pending[state.queue];
-        m_backlogs[state.queue].waiting -= state.timed ? 0 : 1;
-    }
+    if (job->second.state.phase == JobPhase::Queued)
+        --m_pending[job->second.state.queue];
     return m_jobs.erase(job);
 }
 
@@ -71,12 +62,6 @@
     return found == m_jobs.end() ? std::nullopt : std::optional(found->second.state);
 }
 
-std::map<std::string, QueueBacklog> JobStateCache::backlogs() const
-{
-    const std::scoped_lock lock(m_mutex);
-    return m_backlogs;
-}
-
 std::int64_t JobStateCache::pending(const std::string &queue) const
 {
     const std::scoped_lock lock(m_mutex);
