Place a gang no more once one of its members has ended as done

Cause: finishRun() turned the waiting members into done ones at the moment of the first end as done only. A member that ended otherwise later (its minion crashed or was given up before its end was read, or it was stopped) went back to waiting, and placeGang() then placed all members, also the done ones. On the platform one end as done represents the whole gang.

Ruled out: a lost or repeated end.

The test failed before: gang_test.cpp:84: CHECK( cell.phase(0) == TaskPhase::Done ) is NOT correct! values: CHECK( 1 == 3 ) gang_test.cpp:85 and :86: phase(1) 1 == 3, job phase 1 == 2

--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -417,12 +417,15 @@
     }
     task.agent.clear();
     task.incarnation = {};
-    if (end.outcome == RunOutcome::Done && step.gang) {
-        // When one member is done, the whole gang is: members that have already ended otherwise
-        // become Done as well.
-        for (TaskState &member :
-             job.occurrences().at(name->occurrence)[static_cast<std::size_t>(name->step)]) {
-            if (member.phase == TaskPhase::Waiting)
+    if (step.gang) {
+        // The end of one member as done stands for all, also for members that end otherwise later.
+        auto &members =
+            job.occurrences().at(name->occurrence)[static_cast<std::size_t>(name->step)];
+        const bool done = std::any_of(members.begin(), members.end(), [](const TaskState &member) {
+            return member.phase == TaskPhase::Done;
+        });
+        for (TaskState &member : members) {
+            if (done && member.phase == TaskPhase::Waiting)
                 member.phase = TaskPhase::Done;
         }
     }
