Simulated cell: check the capacity at each start, as strictly as the rule

The simulation checked the capacity once a step, after the fact, without accelerators; stops ended their runs at once, all minions were of one kind, and no test filled a cell in memory or accelerators. CapacityCheck now checks each start with all resources and whatever is still being stopped; it computes demands from the specifications, not with the code under test. The check per step is gone because each start that could fail it fails the check per start first. New faults: slowStop (a stop takes 200 to 900 ms) and otherKind (a restarted minion has the capacity of another kind); SimulatedCell::mixKinds() gives minions different capacities from the start. The end of a gang's member as done stands for the gang, as on the platform.

capacity_test.cpp fills cells of mixed kinds with jobs heavy in processors, memory or accelerators, best-effort jobs and gangs.

Mutants by hand: a stopped run frees its room at once, accelerators or the memory of best-effort tasks are not reserved; each fails all three new tests.

--- /dev/null
+++ b/src/libdispatch/capacity_test.cpp
@@ -0,0 +1,101 @@
+// Tests that the runs on a minion never need more than its capacity, in simulated cells that are
+// full.
+#include "simulated_cell.h"
+
+using namespace lavenderarch;
+using lavenderarch::testing::CellFaults;
+using lavenderarch::testing::SimulatedCell;
+
+namespace {
+
+/// A job of one step of a kind that depends on `index`: heavy in processors, memory or
+/// accelerators, best-effort, or a gang.
+JobSpec mixedJob(int index)
+{
+    static const std::vector<Resources> demands{
+        {1500, 300, 0}, {300, 1900, 0}, {500, 900, 1}, {1800, 2600, 0}, {900, 700, 0}};
+    JobSpec job;
+    job.id = "job" + std::to_string(index);
+    job.attempts = 2;
+    StepSpec step;
+    step.count = 3 + index % 4;
+    step.demand = demands[static_cast<std::size_t>(index) % demands.size()];
+    step.bestEffort = index % 7 == 3;
+    step.gang = index % 7 == 5;
+    if (step.gang)
+        step.count = 2;
+    step.longRunning = index % 11 == 10 && !step.gang;
+    if (step.longRunning)
+        step.count = 1;
+    job.steps = {step, step};
+    job.steps[1].after = {0};
+    return job;
+}
+
+constexpr CellFaults slowStops{.slowStop = 1, .cancel = 60};
+constexpr CellFaults allButRestarts{.ownerCrash = 400,
+                                    .agentRestart = 500,
+                                    .slowStop = 1,
+                                    .agentPartition = 900,
+                                    .delayedOrder = 15,
+                                    .lostCommit = 8,
+                                    .lostMessage = 10,
+                                    .lateMessage = 10,
+                                    .cancel = 60};
+
+CellFaults withRestarts(int otherKind)
+{
+    CellFaults faults = allButRestarts;
+    faults.minionCrash = 500;
+    faults.otherKind = otherKind;
+    return faults;
+}
+
+/// Seeds 1 to 12 by default; LAVENDER_SEEDS=FIRST-LAST or LAVENDER_SEEDS=SEED overrides them.
+std::pair<std::uint64_t, std::uint64_t> seedRange()
+{
+    std::pair<std::uint64_t, std::uint64_t> range{1, 12};
+    if (const char *text = std::getenv("LAVENDER_SEEDS")) {
+        char *dash = nullptr;
+        range.first = std::strtoull(text, &dash, 10);
+        range.second = *dash == '-' ? std::strtoull(dash + 1, nullptr, 10) : range.first;
+    }
+    return range;
+}
+
+/// Runs more jobs than the cell has room for under `faults`. SimulatedCell checks each start.
+void runFull(const CellFaults &faults)
+{
+    int starts = 0;
+    int fullStarts = 0;
+    const auto [first, last] = seedRange();
+    for (std::uint64_t seed = first; seed <= last; ++seed) {
+        CAPTURE(seed);
+        SimulatedCell cell(seed, 5, faults);
+        cell.mixKinds();
+        for (int job = 0; job < 40; ++job) {
+            cell.submit(mixedJob(job));
+            cell.advance(Milliseconds(300));
+        }
+        cell.advance(Milliseconds(8000));
+        starts += cell.starts();
+        fullStarts += cell.capacityCheck().fullStarts();
+    }
+    // The load reaches the bound that is checked.
+    CHECK(fullStarts * 4 > starts);
+}
+
+} // namespace
+
+TEST_CASE("minions of a full cell get no more than they hold while stops take time")
+{
+    runFull(slowStops);
+}
+TEST_CASE("minions of a full cell get no more than they hold while owners and agents restart")
+{
+    runFull(allButRestarts);
+}
+TEST_CASE("minions of a full cell get no more than they hold while minions restart")
+{
+    runFull(withRestarts(0));
+}
--- a/src/libdispatch/simulated_cell.h
+++ b/src/libdispatch/simulated_cell.h
@@ -2,6 +2,7 @@
 // threads or real clocks.
 #pragma once
 
+#include "capacity_check.h"
 #include "cell_faults.h"
 #include "lavenderarch/dispatch/cell_dispatcher.h"
 #include "lavenderarch/dispatch/cell_tables.h"
@@ -69,6 +70,13 @@
         agent.endsAt = m_now + Milliseconds(4500);
     }
     void setFaults(CellFaults faults) { m_faults = faults; }
+    /// Gives each minion one of the kinds of minionKinds. To be called before the first step.
+    void mixKinds()
+    {
+        for (std::size_t index = 0; index < m_agents.size(); ++index)
+            minion(index).facts.capacity = minionKinds[index % minionKinds.size()];
+    }
+    const CapacityCheck &capacityCheck() const { return m_capacityCheck; }
 
     JobPhase phase(const std::string &id) const
     {
@@ -115,11 +123,14 @@
         minion.begin("m" + std::to_string(index), m_now);
         Agent *self = agent.get();
         minion.onStart = [this, self](const RunKey &run) { checkStart(*self, run); };
+        minion.stopTime = [this] {
+            return chance(m_faults.slowStop) ? randomDuration(200, 900) : Milliseconds(0);
+        };
         minion.onEnd = [this](const RunKey &run, RunOutcome outcome) {
             traceRun("minion ends", run);
             m_running.erase(run);
             if (outcome == RunOutcome::Done)
-                m_done.insert(run.task);
+                recordDone(run.task);
         };
         minion.onEndAcknowledged = [this](const RunKey &run, RunOutcome outcome) {
             if (outcome == RunOutcome::Done)
@@ -192,7 +203,6 @@
         for (const auto &agent : m_agents)
             advanceAgent(*agent);
         advanceOwner();
-        checkCapacity();
     }
 
     void injectFaults()
@@ -221,6 +231,8 @@
             }
             if (!agent->minion.up && m_now >= agent->restartAt) {
                 agent->minion.begin(agent->minion.facts.incarnation.id, m_now);
+                if (chance(m_faults.otherKind))
+                    agent->minion.facts.capacity = minionKinds[m_random() % minionKinds.size()];
                 agent->sequence = 0;
                 agent->nextCheckIn = m_now + randomDuration(0, 1100);
             }
@@ -396,6 +408,7 @@
         REQUIRE(name);
         m_begun.insert(name->job);
         const JobSpec &spec = m_specs.at(name->job);
+        m_capacityCheck.checkStart(agent.name, agent.minion, run);
         for (const RunKey &other : m_running)
             CHECK_MESSAGE(other.task != run.task, "task runs on two minions at once: ", run.task);
         m_running.insert(run);
@@ -417,20 +430,14 @@
                           "task started after its job was cancelled: ", run.task);
     }
 
-    void checkCapacity()
+    /// The end of one member of a gang as done stands for the whole gang.
+    void recordDone(const std::string &task)
     {
-        for (const auto &agent : m_agents) {
-            Resources used;
-            for (const auto &[task, run] : agent->minion.active()) {
-                const auto name = TaskName::parse(task);
-                const auto &step =
-                    m_specs.at(name->job).steps[static_cast<std::size_t>(name->step)];
-                used = used + Resources(step.bestEffort ? 0 : step.demand.milliCores(),
-                                        step.demand.memoryMib(), 0);
-            }
-            CHECK_MESSAGE(used.fitsInto(agent->minion.facts.capacity),
-                          "minion capacity exceeded: ", agent->name);
-        }
+        m_done.insert(task);
+        auto name = *TaskName::parse(task);
+        const auto &step = m_specs.at(name.job).steps[static_cast<std::size_t>(name.step)];
+        for (name.index = 0; step.gang && name.index < step.count; ++name.index)
+            m_done.insert(name.text());
     }
 
     void checkStoredPhases(const CellCommit &commit)
@@ -480,6 +487,7 @@
     std::vector<std::unique_ptr<Agent>> m_agents;
     std::vector<DelayedStart> m_delayedStarts;
     std::map<std::string, JobSpec> m_specs;
+    CapacityCheck m_capacityCheck{m_specs};
     std::map<std::string, BootTime> m_cancelledAt;
     std::set<RunKey> m_running;
     std::set<std::string> m_begun;           // jobs of which a task has started
--- a/src/libdispatch/simulated_minion.h
+++ b/src/libdispatch/simulated_minion.h
@@ -19,12 +19,15 @@
         int run = 0;
         BootTime endsAt{};
         RunOutcome outcome = RunOutcome::Done;
+        bool stopping = false; ///< stopped, but the end is not listed yet
     };
     /// Called when a run starts or ends on the minion.
     std::function<void(const RunKey &)> onStart;
     std::function<void(const RunKey &, RunOutcome)> onEnd;
     /// Called when the owner has confirmed an end that happened under a valid lease.
     std::function<void(const RunKey &, RunOutcome)> onEndAcknowledged;
+    /// Time that a stop takes, during which the run keeps its room; unset: none.
+    std::function<Milliseconds()> stopTime;
 
     MinionFacts facts;
     bool up = true;
@@ -50,6 +53,7 @@
     /// Ends the runs that are due, and all runs if the lease has lapsed.
     void advance(BootTime now)
     {
+        m_now = now;
         if (!up)
             return;
         // An end counts as acknowledged only if the lease has been valid ever since.
@@ -99,7 +103,7 @@
         m_fence = fence;
         const auto known = m_active.find(run.task);
         if (known != m_active.end() && known->second.run <= run.number)
-            end(run.task, RunOutcome::Stopped);
+            beginStop(run.task, known->second);
         m_highestRun[run.task] = std::max(m_highestRun[run.task], run.number);
         return true;
     }
@@ -132,6 +136,17 @@
         m_leaseUntil = std::max(m_leaseUntil, m_startedAt + Milliseconds(untilMs));
     }
 
+    void beginStop(const std::string &task, Active &run)
+    {
+        const Milliseconds time = stopTime ? stopTime() : Milliseconds(0);
+        if (time == Milliseconds(0)) {
+            end(task, RunOutcome::Stopped);
+        } else if (!std::exchange(run.stopping, true)) {
+            run.endsAt = m_now + time;
+            run.outcome = RunOutcome::Stopped;
+        }
+    }
+
     void end(const std::string &task, RunOutcome outcome)
     {
         const RunKey run{task, m_active.at(task).run};
@@ -141,6 +156,7 @@
         onEnd(run, outcome);
     }
 
+    BootTime m_now{};
     BootTime m_startedAt{};
     BootTime m_leaseUntil{};
     std::int64_t m_fence = 0;
