--- a/src/libdispatch/capacity_test.cpp
+++ b/src/libdispatch/capacity_test.cpp
@@ -1,5 +1,6 @@
 // Tests that the runs on a minion never need more than its capacity, in simulated cells that are
 // full.
+#include "seed_range.h"
 #include "simulated_cell.h"
 
 using namespace lavenderarch;
@@ -51,24 +52,12 @@
     return faults;
 }
 
-/// Seeds 1 to 12 by default; LAVENDER_SEEDS=FIRST-LAST or LAVENDER_SEEDS=SEED overrides them.
-std::pair<std::uint64_t, std::uint64_t> seedRange()
-{
-    std::pair<std::uint64_t, std::uint64_t> range{1, 12};
-    if (const char *text = std::getenv("LAVENDER_SEEDS")) {
-        char *dash = nullptr;
-        range.first = std::strtoull(text, &dash, 10);
-        range.second = *dash == '-' ? std::strtoull(dash + 1, nullptr, 10) : range.first;
-    }
-    return range;
-}
-
 /// Runs more jobs than the cell has room for under `faults`. SimulatedCell checks each start.
 void runFull(const CellFaults &faults)
 {
     int starts = 0;
     int fullStarts = 0;
-    const auto [first, last] = seedRange();
+    const auto [first, last] = lavenderarch::testing::seedRange();
     for (std::uint64_t seed = first; seed <= last; ++seed) {
         CAPTURE(seed);
         SimulatedCell cell(seed, 5, faults);
--- a/src/libdispatch/simulated_cell.h
+++ b/src/libdispatch/simulated_cell.h
@@ -9,6 +9,7 @@
 #include "lavenderarch/dispatch/ownership_watch.h"
 #include "lavenderarch/dispatch/queue_catalog.h"
 #include "simulated_agent.h"
+#include "stored_phase_check.h"
 
 #include <cstdlib>
 #include <doctest/doctest.h>
@@ -380,7 +381,7 @@
             apply(commit->inboxWrites);
             m_commitAt =
                 m_now + (chance(m_faults.lostCommit) ? randomDuration(100, 1500) : stepTime);
-            checkStoredPhases(*commit);
+            m_phaseCheck.checkCommit(*commit);
         }
         for (const auto &event : m_owner->takeEvents()) {
             if (!trace)
@@ -442,36 +443,6 @@
             m_done.insert(name.text());
     }
 
-    void checkStoredPhases(const CellCommit &commit)
-    {
-        for (const RowWrite &write : commit.writes) {
-            if (write.key.table != cells::stateTable || write.remove)
-                continue;
-            const std::string &id = write.key.key;
-            const JobPhase phase = Json::parse(write.value).at("phase").get<JobPhase>();
-            if (phase == JobPhase::Running)
-                CHECK_MESSAGE(m_begun.count(id) == 1,
-                              "job stored as running before any of its tasks started: ", id);
-            if (phase == JobPhase::Queued)
-                CHECK_MESSAGE(m_storedAsRunning.count(id) == 0,
-                              "job stored as queued after it was running: ", id);
-            else
-                m_storedAsRunning.insert(id);
-            if (phase == JobPhase::Done)
-                checkAllDone(m_specs.at(id));
-        }
-    }
-
-    void checkAllDone(const JobSpec &spec)
-    {
-        for (std::size_t step = 0; step < spec.steps.size(); ++step) {
-            for (int index = 0; index < spec.steps[step].count; ++index)
-                CHECK_MESSAGE(
-                    m_done.count(TaskName{spec.id, 0, static_cast<int>(step), index}.text()) == 1,
-                    "job stored as done before all its tasks were done: ", spec.id);
-        }
-    }
-
     RandomEngine m_random;
     CellFaults m_faults;
     BootTime m_now;
@@ -492,9 +463,9 @@
     CapacityCheck m_capacityCheck{m_specs};
     std::map<std::string, BootTime> m_cancelledAt;
     std::set<RunKey> m_running;
-    std::set<std::string> m_begun;           // jobs of which a task has started
-    std::set<std::string> m_storedAsRunning; // jobs that were stored in a later phase than queued
+    std::set<std::string> m_begun; // jobs of which a task has started
     std::set<std::string> m_done;
+    StoredPhaseCheck m_phaseCheck{m_specs, m_begun, m_done};
     std::set<std::string> m_acknowledgedDone;
     std::map<std::string, int> m_acknowledgedFailures;
 };
