The owner counts each lease where it grants it, and replies to the current session only

The poll of the current session that waited was answered with orders and numbers of the former one. As order numbers began anew with each session, the agent took later orders for some that it had executed, and the task stayed in Stopping.

Fix: reply() counts the grant from the arrival of the request at the earliest, and asserts it. The arrival is not before the agent's sending time, from which the agent counts, so that it holds also for messages that were overtaken or handled without a grant, and for a process that is frozen in between. Leases of others (before the takeover, while the cell is loaded) count for every minion, known or not. A reply to a session that another one has replaced has no lease and no orders, and order numbers rise over all sessions.

--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -36,8 +36,8 @@
     /// Rebuilds the state from the rows of a cell that was taken over at `now`. Previous owners may
     /// have granted leases until then.
     void load(const std::vector<Row> &jobs, const std::vector<Row> &progress, BootTime now);
-    /// Assumes that each minion with runs holds a lease that started at `now`, since leases may
-    /// have been granted between load() and then.
+    /// Assumes that each minion holds a lease that started at `now`, since leases may have been
+    /// granted between load() and then.
     void assumeLeases(BootTime now);
     /// Applies a new or changed row of the job table.
     void applyJobRow(const Row &row, BootTime now);
@@ -61,8 +61,11 @@
     /// Processes an agent's message. If `mayGrant` and the minion is reachable, a lease is assumed
     /// to start at `now`.
     void handleRequest(const ExchangeRequest &request, BootTime now, bool mayGrant);
-    /// Reply to the agent's request that arrived at `arrived`: all orders that it has not
-    /// confirmed, and a lease if the minion is reachable. Without `mayGrant` it holds neither.
+    /// Reply to a request that arrived at `arrived`: all orders that the agent has not confirmed,
+    /// and a lease if the minion is reachable, which is counted from `arrived` at the earliest.
+    /// Without `mayGrant`, or to a session that another one has replaced, it holds neither.
+    ExchangeReply reply(const ExchangeRequest &request, BootTime arrived, bool mayGrant);
+    /// The same for the current session of `agent`.
     ExchangeReply reply(const std::string &agent, BootTime arrived, bool mayGrant);
     /// True when a reply would have something that the agent should get without delay.
     bool hasOrders(const std::string &agent) const;
@@ -134,6 +137,7 @@
     bool hasBetterMinion(const JobModel &job, const TaskName &name, const TaskState &task,
                          BootTime now);
     void stopMissingRuns(MinionView &view, const ExchangeRequest &request);
+    void endLapsedLeases(BootTime now);
     void endLapsedRuns(MinionView &view, const std::string &reason, BootTime now);
     void finishRun(JobModel &job, TaskState &task, const RunEnd &end, BootTime now);
     void recordOutcome(MinionView &view, const JobModel &job, RunOutcome outcome, BootTime now);
@@ -187,6 +191,8 @@
     BootTime m_evacuationsTime{};
     std::map<std::string, JobModel> m_jobs;
     std::map<std::string, MinionView> m_minions; // by agent
+    /// Others may have granted leases to any minion that started until then.
+    BootTime m_assumedLeaseStart{};
     std::set<std::string> m_agentsToWake;
     /// Jobs that have not reached a final phase, by (priority, time of acceptance, id).
     std::set<std::tuple<int, std::int64_t, std::string>> m_unfinishedJobs;
--- a/src/include/lavenderarch/dispatch/minion_view.h
+++ b/src/include/lavenderarch/dispatch/minion_view.h
@@ -24,11 +24,12 @@
     bool reachable = false; ///< the minion answered the agent's last request
     MinionFacts facts;
     BootTime lastHeard{};  ///< time of the agent's newest message
-    BootTime leaseStart{}; ///< start of the newest lease that may be valid
+    BootTime leaseStart{}; ///< start of the newest lease that this owner has granted
 
     std::int64_t newestMessage = 0;
     std::int64_t snapshot = 0; ///< newest snapshot of this session and minion; 0: none applied
     bool snapshotDue = false;  ///< the next reply asks for a snapshot
+    /// Rises over all sessions, as a former one may come back with a late message.
     std::int64_t nextOrder = 1;
     std::deque<RunOrder> outbox;                ///< orders that the agent has not confirmed
     std::set<RunKey> runs;                      ///< runs of Placed and Stopping tasks on the minion
--- a/src/include/lavenderarch/dispatch/run_order.h
+++ b/src/include/lavenderarch/dispatch/run_order.h
@@ -15,7 +15,7 @@
                                          {OrderKind::Stop, "stop"},
                                          {OrderKind::Describe, "describe"}})
 
-/// Value type. `sequence` numbers the orders to one session of an agent, from 1.
+/// Value type. `sequence` numbers the orders of one owner to an agent, from 1.
 struct RunOrder
 {
     std::int64_t sequence = 0;
--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -123,12 +123,13 @@
                BootClock::now() < until)
             m_changed.wait_for(lock, until - BootClock::now());
         // An owner that could not renew rejects agents, as another process may have taken over.
-        if (m_state == State::Idle || request.epoch > m_epoch || !ownershipValid())
+        const bool mayGrant = ownershipValid();
+        if (m_state == State::Idle || request.epoch > m_epoch || !mayGrant)
             return reject(lock, until);
         if (m_state == State::Loading)
             return loadingReply(request);
         const std::int64_t epoch = m_epoch;
-        m_dispatcher->handleRequest(request, BootClock::now(), ownershipValid());
+        m_dispatcher->handleRequest(request, BootClock::now(), mayGrant);
         if (m_dispatcher->hasWork() || releasing()) {
             m_workPending = true;
             m_work.notify_all();
@@ -142,7 +143,7 @@
         }
         if (m_dispatcher == nullptr || m_epoch != epoch || m_releasing)
             return reject(lock, until);
-        return m_dispatcher->reply(request.agent, arrived, ownershipValid());
+        return m_dispatcher->reply(request, arrived, ownershipValid());
     }
 
     bool owns() const
--- a/src/libdispatch/cell_dispatcher.cpp
+++ b/src/libdispatch/cell_dispatcher.cpp
@@ -71,6 +71,7 @@
 void CellDispatcher::load(const std::vector<Row> &jobs, const std::vector<Row> &progress,
                           BootTime now)
 {
+    assumeLeases(now);
     for (const Row &row : progress) {
         if (JobModel::isSettled(row.value))
             keepSettled(row.key.key, now);
@@ -98,7 +99,6 @@
                 return;
             MinionView &view = m_minions[task.agent];
             view.agent = task.agent;
-            view.leaseStart = now;
             task.placedAt = now;
             task.progressAt = now;
             attach(view, job.step(name), {name.text(), task.run});
@@ -119,12 +119,6 @@
     }
 }
 
-void CellDispatcher::assumeLeases(BootTime now)
-{
-    for (auto &[agent, view] : m_minions)
-        view.leaseStart = now;
-}
-
 void CellDispatcher::loadTailModel(const std::string &text)
 {
     if (!m_tailModel.load(text))
--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -8,10 +8,6 @@
 namespace lavenderarch {
 namespace {
 
-/// A lease counts as lapsed only after its duration times clockDrift plus leaseMargin: the minion's
-/// clock may run 2 % slow, and messages take time.
-constexpr double clockDrift = 1.02;
-constexpr Milliseconds leaseMargin{300};
 /// Time that a start needs from its placement: the commit, the agent's poll and the call of the
 /// minion.
 constexpr Milliseconds minStartTime{500};
@@ -108,30 +104,6 @@
     return std::max<std::int64_t>(0, (until - arrived).count());
 }
 
-ExchangeReply CellDispatcher::reply(const std::string &agent, BootTime arrived, bool mayGrant)
-{
-    MinionView &view = m_minions[agent];
-    ExchangeReply reply;
-    reply.epoch = m_epoch;
-    reply.grantMs = mayGrant && view.reachable ? m_limits.leaseMs : 0;
-    reply.incarnation = view.facts.incarnation;
-    if (!mayGrant)
-        return reply;
-    reply.endsSeen = view.endsSeen;
-    reply.absentSeen = std::exchange(view.absentSeen, {});
-    reply.orders.assign(view.outbox.begin(), view.outbox.end());
-    for (RunOrder &order : reply.orders) {
-        // Jobs cancelled and data centres evacuated since the placement are known by now, so that
-        // the deadline follows from the newest inputs.
-        if (order.kind == OrderKind::Start)
-            order.startWithinMs = startWithinMs(view, arrived);
-    }
-    reply.snapshotSeen = std::exchange(view.snapshotDue, false) ? 0 : view.snapshot;
-    if (std::exchange(view.weightsDue, false))
-        reply.weights = tailWeights(view, m_tailModel);
-    return reply;
-}
-
 bool CellDispatcher::hasOrders(const std::string &agent) const
 {
     const auto view = m_minions.find(agent);
@@ -169,7 +141,6 @@
     view.newestMessage = 0;
     view.snapshot = 0;
     view.snapshotDue = false;
-    view.nextOrder = 1;
     view.outbox.clear();
     view.absentSeen.clear();
     view.unexpectedStopped.clear();
@@ -380,17 +351,6 @@
     }
 }
 
-void CellDispatcher::endLapsedRuns(MinionView &view, const std::string &reason, BootTime now)
-{
-    const auto runs = view.runs;
-    for (const RunKey &run : runs) {
-        const auto [job, task] = locate(run.task);
-        if (task != nullptr)
-            finishRun(*job, *task, {0, run, RunOutcome::Lapsed, "", reason}, now);
-    }
-    view.outbox.clear();
-}
-
 void CellDispatcher::finishRun(JobModel &job, TaskState &task, const RunEnd &end, BootTime now)
 {
     const auto name = TaskName::parse(end.run.task);
@@ -462,17 +422,8 @@
 
 void CellDispatcher::tick(BootTime now, std::int64_t timeOfDayMs)
 {
-    const auto lease =
-        Milliseconds(static_cast<std::int64_t>(static_cast<double>(m_limits.leaseMs) * clockDrift));
+    endLapsedLeases(now);
     for (auto &[agent, view] : m_minions) {
-        if (!view.runs.empty() && now - view.leaseStart > lease + leaseMargin) {
-            recordEvent("minion lease lapsed without renewal",
-                        {{"agent", agent},
-                         {"leaseAgeMs", std::to_string((now - view.leaseStart).count())},
-                         {"heardMsAgo", std::to_string((now - view.lastHeard).count())}});
-            endLapsedRuns(view, "the lease lapsed", now);
-            view.registered = false;
-        }
         std::erase_if(view.failedJobs,
                       [&](const auto &entry) { return now - entry.second > failureWindow; });
         if (!isFresh(view, now))
--- a/src/libdispatch/simulated_cell.h
+++ b/src/libdispatch/simulated_cell.h
@@ -288,7 +288,7 @@
                 agent.ledger->exchangeFailed();
                 return;
             }
-            LateReply late{m_now, m_now, request, m_owner->reply(agent.name, m_now, true)};
+            LateReply late{m_now, m_now, request, m_owner->reply(request, m_now, true)};
             if (chance(m_faults.lateReply)) {
                 late.at += randomDuration(1000, 6000);
                 agent.lateReply = std::move(late);
