A listing without all ends proves no run absent

What callers saw: a task that ran again after it was done (found by reading, not seen in a play).

Cause: a minion lists at most 500 ends at once, the oldest first. The agent took a run that was in neither list for missing; the owner stopped it, and once the stop was confirmed and the next page did not hold its end either, it counted as absent and was placed again. The end was acknowledged later.

Fix: a listing says whether it holds all ends; the adapter says so for less than a full page. Otherwise only what it does list is applied, and runs that it lacks are judged by a later one.

--- a/src/include/lavenderarch/dispatch/minion_listing.h
+++ b/src/include/lavenderarch/dispatch/minion_listing.h
@@ -24,7 +24,9 @@
     std::int64_t clockMs = 0; ///< the minion's own steady clock
     std::int64_t bornMs = 0;  ///< incarnation that answered; 0 if the minion does not report it
     std::vector<Active> active;
-    std::vector<RunEnd> ends;
+    std::vector<RunEnd> ends; ///< the oldest that are not confirmed, by number
+    /// `ends` has all of them. Otherwise a run that is in neither list may have ended as well.
+    bool complete = true;
 
     friend bool operator==(const MinionListing &, const MinionListing &) = default;
 };
--- a/src/libdispatch/run_ledger.cpp
+++ b/src/libdispatch/run_ledger.cpp
@@ -204,7 +204,7 @@
         const bool stopped = run.stopConfirmed && *run.stopConfirmed < sentAt;
         const bool missing =
             run.phase == Phase::Confirmed && run.since < sentAt && !run.stopRequested;
-        if (present.count(entry->first) != 0 || (!stopped && !missing)) {
+        if (!listing.complete || present.count(entry->first) != 0 || (!stopped && !missing)) {
             ++entry;
             continue;
         }
--- a/src/libdispatch/simulated_minion.h
+++ b/src/libdispatch/simulated_minion.h
@@ -28,6 +28,7 @@
 
     MinionFacts facts;
     bool up = true;
+    std::size_t endsPerListing = 500;
 
     /// Starts a new incarnation.
     void begin(const std::string &id, BootTime now)
@@ -122,7 +123,9 @@
         listing.bornMs = facts.incarnation.bornMs;
         for (const auto &[task, run] : m_active)
             listing.active.push_back({{task, run.run}, "", 50, 0});
-        listing.ends = m_ends;
+        listing.complete = m_ends.size() < endsPerListing;
+        listing.ends.assign(m_ends.begin(), m_ends.begin() + static_cast<std::ptrdiff_t>(std::min(
+                                                                 m_ends.size(), endsPerListing)));
         return listing;
     }
 
