A start is not sent after the lease that was granted with it

What callers saw: possibly two runs of one task (found by reading; with the limits that the deployments set, cancelMs and evacuateMs, the deadline of a start is shorter than the lease, so that it cannot happen there).

Cause: the agent checked a start against the newest lease. If it was frozen between the owner's reply and its reading, or between reading and sending, the owner has ended the run since, and a newer reply may have granted a lease again.

Fix: the deadline of a start is at most the end of the lease granted in the same reply; until then the owner counts the lease and does not end the run.

A reply that the delivery test makes by hand with a start now also grants a lease, as owners do.

--- a/src/libdispatch/end_delivery_test.cpp
+++ b/src/libdispatch/end_delivery_test.cpp
@@ -185,6 +185,7 @@
     ExchangeReply reply;
     reply.epoch = delivery.ledger.epoch();
     reply.incarnation = minion.incarnation;
+    reply.grantMs = 5000;
     reply.snapshotSeen = delivery.message().snapshot;
     reply.orders.emplace_back();
     reply.orders[0].sequence = 1000;
--- a/src/libdispatch/run_ledger.cpp
+++ b/src/libdispatch/run_ledger.cpp
@@ -116,8 +116,9 @@
         m_orderSeen = 0;
         m_listedEpoch = -1;
     }
+    const BootTime granted = sentAt + Milliseconds(reply.grantMs);
     if (reply.grantMs > 0)
-        m_grantUntil = std::max(m_grantUntil, sentAt + Milliseconds(reply.grantMs));
+        m_grantUntil = std::max(m_grantUntil, granted);
     const bool sameIncarnation = reply.incarnation == m_facts.incarnation;
     m_ownerHasSnapshot = sameIncarnation && reply.snapshotSeen > 0;
     if (sameIncarnation && reply.endsSeen > m_endsSeen && m_ends.count(reply.endsSeen) != 0)
@@ -139,13 +140,15 @@
         if (order.kind == OrderKind::Start) {
             LocalRun run;
             run.since = now;
-            // Counted from the request, like the lease, as the transfer time is unknown.
+            // Counted from the request, like the lease, as the transfer time is unknown. After that
+            // lease the owner may have ended the run, even if it has granted another one since.
+            run.startBy = granted;
             if (order.startWithinMs >= 0)
-                run.startBy = sentAt + Milliseconds(order.startWithinMs);
-            if (m_facts.draining || now >= m_grantUntil || now >= run.startBy) {
+                run.startBy = std::min(granted, sentAt + Milliseconds(order.startWithinMs));
+            if (m_facts.draining || now >= run.startBy) {
                 addAbsent(order.run, m_facts.draining     ? "the minion drains"
-                                     : now >= run.startBy ? "received after its start deadline"
-                                                          : "no lease");
+                                     : reply.grantMs == 0 ? "no lease"
+                                                          : "received after its start deadline");
                 continue;
             }
             run.describe(order);
