Runs of a deregistered minion end only once it accepts no connection

What callers saw: possibly two runs of one task, or a start after its end was confirmed (found by reading).

Cause: a DELETE of a minion reported all its runs as absent at once. A minion runs on for a moment after it, its last listing with ends may be on its way, and the message itself may be late, from before a restart under the same id.

Fix: a deregistration stops placement, as before, and the runs end when a renewal after it finds that the minion accepts no connection: two signs that do not depend on each other. A minion that hangs or still answers keeps its runs until the leases have lapsed; a new registration takes the deregistration back.

--- a/src/include/lavenderarch/dispatch/run_ledger.h
+++ b/src/include/lavenderarch/dispatch/run_ledger.h
@@ -66,7 +66,8 @@
     /// the old one. Returns false and ignores facts of an older incarnation, or of the same
     /// one unless `sequence` is newer.
     bool updateFacts(const MinionFacts &facts, std::int64_t sequence);
-    /// The minion has left or has registered with another agent. Its runs end as Absent.
+    /// The minion `id` has deregistered. Its runs end as Absent once it accepts no connection: it
+    /// may run on for a while, its last ends may be on their way, and the message may be late.
     void minionLeft(const std::string &id);
 
     /// The owner has replied to `request`: brief messages on the same snapshot leave its ends out.
@@ -78,9 +79,10 @@
     /// missing only if the request was sent after its start.
     void applyListing(const MinionListing &listing, std::int64_t epoch, BootTime sentAt,
                       BootTime now);
-    /// The minion did not answer a renewal. Once every lease that may have reached it has lapsed,
-    /// all its runs have ended. Returns the runs that are reported as absent for that.
-    std::vector<RunKey> renewalFailed(BootTime now);
+    /// The minion did not answer a renewal, or accepted no connection. Once it has left, or once
+    /// every lease that may have reached it has lapsed, all its runs have ended. Returns the runs
+    /// that are reported as absent for that.
+    std::vector<RunKey> renewalFailed(BootTime now, bool refusesConnections = false);
     /// Records a lease that is about to be sent and so may reach the minion.
     void renewalSent(const Lease &lease);
 
@@ -111,6 +113,7 @@
     const MinionFacts &facts() const { return m_facts; }
     bool registered() const { return m_registered; }
     bool reachable() const { return m_reachable; }
+    bool deregistered() const { return m_deregistered; }
     /// When every lease that may have reached the minion has lapsed.
     BootTime leaseEnd() const { return m_leaseEnd; }
     std::int64_t epoch() const { return m_epoch; }
@@ -144,6 +147,7 @@
     std::int64_t m_orderSeen = 0;
     std::int64_t m_listedEpoch = -1;
     bool m_registered = false;
+    bool m_deregistered = false; // since the last registration
     bool m_reachable = false;
     bool m_unreportedChanges = false;
     bool m_ownerHasSnapshot = false;   // the last reply allows brief messages
--- a/src/include/lavenderarch/runtime/agent_loop.h
+++ b/src/include/lavenderarch/runtime/agent_loop.h
@@ -256,7 +256,9 @@
                     m_nextPace = BootClock::now() + paceInterval;
                 }
             } else {
-                logLapsed(m_ledger.renewalFailed(BootClock::now()), context.incarnation);
+                logAbsent(m_ledger.renewalFailed(BootClock::now(), kindOf(listing.status()) ==
+                                                                       ErrorKind::Unreachable),
+                          context.incarnation);
             }
             if (reachable != m_ledger.reachable()) {
                 if (listing.ok())
@@ -274,14 +276,15 @@
     }
 
     /// Requires m_mutex.
-    void logLapsed(const std::vector<RunKey> &runs, const MinionIncarnation &incarnation) const
+    void logAbsent(const std::vector<RunKey> &runs, const MinionIncarnation &incarnation) const
     {
         const auto lapsedFor = BootClock::now() - m_ledger.leaseEnd();
         for (const RunKey &run : runs)
-            logEvent(LogLevel::Warning, "agent", "run given up: the minion is silent",
+            logEvent(LogLevel::Warning, "agent", "run given up: the minion does not answer",
                      {{"task", run.task},
                       {"run", std::to_string(run.number)},
                       {"minion", incarnation.id},
+                      {"deregistered", m_ledger.deregistered() ? "yes" : "no"},
                       {"allLeasesLapsedMsAgo", std::to_string(lapsedFor.count())}});
     }
 
--- a/src/libdispatch/run_ledger.cpp
+++ b/src/libdispatch/run_ledger.cpp
@@ -70,6 +70,7 @@
     m_facts = facts;
     m_factsSequence = sequence;
     m_registered = true;
+    m_deregistered = false;
     return true;
 }
 
@@ -77,9 +78,7 @@
 {
     if (id != m_facts.incarnation.id)
         return;
-    for (const auto &[run, local] : m_runs)
-        addAbsent(run, "the minion left");
-    m_runs.clear();
+    m_deregistered = true;
     m_facts.draining = true;
     m_unreportedChanges = true;
     m_snapshotDue = true;
@@ -240,15 +239,16 @@
     m_leaseEnd = std::max(m_leaseEnd, latestLeaseEnd(m_clockAt, lease.until));
 }
 
-std::vector<RunKey> RunLedger::renewalFailed(BootTime now)
+std::vector<RunKey> RunLedger::renewalFailed(BootTime now, bool refusesConnections)
 {
     m_unreportedChanges = m_unreportedChanges || m_reachable;
     m_reachable = false;
     std::vector<RunKey> lapsed;
-    if (now <= m_leaseEnd)
+    const bool left = m_deregistered && refusesConnections;
+    if (!left && now <= m_leaseEnd)
         return lapsed;
     for (const auto &[run, local] : m_runs) {
-        addAbsent(run, "the minion is silent and its lease has lapsed");
+        addAbsent(run, left ? "the minion left" : "the minion is silent and its lease has lapsed");
         lapsed.push_back(run);
     }
     m_runs.clear();
