--- a/src/libdispatch/run_ledger.cpp
+++ b/src/libdispatch/run_ledger.cpp
@@ -70,6 +70,7 @@
     m_facts = facts;
     m_factsSequence = sequence;
     m_registered = true;
+    m_deregistered = false;
     return true;
 }
 
@@ -77,9 +78,7 @@
 {
     if (id != m_facts.incarnation.id)
         return;
-    for (const auto &[run, local] : m_runs)
-        addAbsent(run, "the minion left");
-    m_runs.clear();
+    m_deregistered = true;
     m_facts.draining = true;
     m_unreportedChanges = true;
     m_snapshotDue = true;
@@ -116,8 +115,9 @@
         m_orderSeen = 0;
         m_listedEpoch = -1;
     }
+    const BootTime granted = sentAt + Milliseconds(reply.grantMs);
     if (reply.grantMs > 0)
-        m_grantUntil = std::max(m_grantUntil, sentAt + Milliseconds(reply.grantMs));
+        m_grantUntil = std::max(m_grantUntil, granted);
     const bool sameIncarnation = reply.incarnation == m_facts.incarnation;
     m_ownerHasSnapshot = sameIncarnation && reply.snapshotSeen > 0;
     if (sameIncarnation && reply.endsSeen > m_endsSeen && m_ends.count(reply.endsSeen) != 0)
@@ -139,13 +139,15 @@
         if (order.kind == OrderKind::Start) {
             LocalRun run;
             run.since = now;
-            // Counted from the request, like the lease, as the transfer time is unknown.
+            // Counted from the request, like the lease, as the transfer time is unknown. After that
+            // lease the owner may have ended the run, even if it has granted another one since.
+            run.startBy = granted;
             if (order.startWithinMs >= 0)
-                run.startBy = sentAt + Milliseconds(order.startWithinMs);
-            if (m_facts.draining || now >= m_grantUntil || now >= run.startBy) {
+                run.startBy = std::min(granted, sentAt + Milliseconds(order.startWithinMs));
+            if (m_facts.draining || now >= run.startBy) {
                 addAbsent(order.run, m_facts.draining     ? "the minion drains"
-                                     : now >= run.startBy ? "received after its start deadline"
-                                                          : "no lease");
+                                     : reply.grantMs == 0 ? "no lease"
+                                                          : "received after its start deadline");
                 continue;
             }
             run.describe(order);
@@ -204,7 +206,7 @@
         const bool stopped = run.stopConfirmed && *run.stopConfirmed < sentAt;
         const bool missing =
             run.phase == Phase::Confirmed && run.since < sentAt && !run.stopRequested;
-        if (present.count(entry->first) != 0 || (!stopped && !missing)) {
+        if (!listing.complete || present.count(entry->first) != 0 || (!stopped && !missing)) {
             ++entry;
             continue;
         }
@@ -237,15 +239,16 @@
     m_leaseEnd = std::max(m_leaseEnd, latestLeaseEnd(m_clockAt, lease.until));
 }
 
-std::vector<RunKey> RunLedger::renewalFailed(BootTime now)
+std::vector<RunKey> RunLedger::renewalFailed(BootTime now, bool refusesConnections)
 {
     m_unreportedChanges = m_unreportedChanges || m_reachable;
     m_reachable = false;
     std::vector<RunKey> lapsed;
-    if (now <= m_leaseEnd)
+    const bool left = m_deregistered && refusesConnections;
+    if (!left && now <= m_leaseEnd)
         return lapsed;
     for (const auto &[run, local] : m_runs) {
-        addAbsent(run, "the minion is silent and its lease has lapsed");
+        addAbsent(run, left ? "the minion left" : "the minion is silent and its lease has lapsed");
         lapsed.push_back(run);
     }
     m_runs.clear();
