Unreadable bytes in a request ended the process that answered it

Callers saw: an agent ended with each check-in whose body or id holds bytes that are not UTF-8, an entry with each such path, id or job; both ended again when the request was sent again. The writer of such an entry ends the agent of a minion as often as it writes.

Cause: the error quotes the bytes, and Json::dump(), which writes the error response, throws at them (type_error.316). The exception left the handler of the HTTP server, whose threads belong to CivetWeb, and ended the process. An id of such bytes that was accepted with a good body did the same at the next message to the owner, or in the job row.

The message of an error response of another type than text threw too (errorFromResponse).

--- a/src/include/lavenderarch/config/data_centre_store.h
+++ b/src/include/lavenderarch/config/data_centre_store.h
@@ -72,9 +72,9 @@
                                 "data-centre",  name.text(), stateText(before.out),
                                 stateText(out), author.cause};
         const std::string auditKey = audit.key();
-        const std::string auditValue = Json(audit).dump();
+        const std::string auditValue = jsonText(audit);
         const TableTransaction transaction{{{key, row->version}, {auditKey, 0}},
-                                           {{key, Json(after).dump()}, {auditKey, auditValue}}};
+                                           {{key, jsonText(after)}, {auditKey, auditValue}}};
         const auto result = commitOnce(m_table, transaction, {auditKey, auditValue}, deadline);
         if (!result.ok())
             return result.status();
--- a/src/include/lavenderarch/config/manifest_store.h
+++ b/src/include/lavenderarch/config/manifest_store.h
@@ -66,7 +66,7 @@
         const auto record = parseRow<ManifestRecord>(*row);
         if (!record.ok())
             return record.status();
-        auto manifest = Manifest::parse(record->document.dump());
+        auto manifest = Manifest::parse(jsonText(record->document));
         if (!manifest.ok())
             return manifest.status();
         return manifest->withVersion(number);
@@ -86,7 +86,7 @@
         const std::int64_t next = expected + 1;
         const ManifestRecord record{next,         makeUniqueId(), author.operatorName,
                                     author.cause, author.at,      manifest.document()};
-        const std::string value = Json(record).dump();
+        const std::string value = jsonText(record);
         const std::string key = manifestVersionKey(next);
         const AuditRecord audit{record.writeId,        author.at,
                                 author.operatorName,   "manifest",
@@ -95,7 +95,7 @@
         const TableTransaction change{{{manifestHeadKey, head->version}, {key, 0}},
                                       {{manifestHeadKey, std::to_string(next)},
                                        {key, value},
-                                       {audit.key(), Json(audit).dump()}}};
+                                       {audit.key(), jsonText(audit)}}};
         const auto result = commitOnce(m_table, change, {key, value}, deadline);
         if (!result.ok())
             return result.status();
--- a/src/include/lavenderarch/core/json.h
+++ b/src/include/lavenderarch/core/json.h
@@ -13,6 +13,9 @@
 /// Parses `text`; `what` names the document in the error message.
 StatusOr<Json> parseJson(std::string_view text, std::string_view what);
 
+/// The text of `value`. Bytes that are not UTF-8 become replacement characters.
+std::string jsonText(const Json &value);
+
 /// Converts `value` to `Value` (a type with from_json); the error names the missing or wrong field.
 template <typename Value>
 StatusOr<Value> fromJson(const Json &value, std::string_view what)
--- a/src/include/lavenderarch/http/http_server.h
+++ b/src/include/lavenderarch/http/http_server.h
@@ -12,8 +12,9 @@
 
 namespace lavenderarch {
 
-/// Serves requests until destroyed. The handler is called from many threads at once and must not
-/// throw; requests over the body limit get status 413 without a call of the handler.
+/// Serves requests until destroyed. The handler is called from many threads at once; an exception
+/// of it is answered with status 500. Requests over the body limit get status 413 without a call of
+/// the handler.
 class HttpServer
 {
 public:
--- a/src/include/lavenderarch/routing/key_claims.h
+++ b/src/include/lavenderarch/routing/key_claims.h
@@ -75,7 +75,7 @@
                                    std::int64_t rowVersion)
     {
         const std::string key = rowKey(service, record.key);
-        const std::string value = Json(record).dump();
+        const std::string value = jsonText(record);
         return {{{{key, rowVersion}}, {{key, value}}}, {key, value}};
     }
 
--- a/src/include/lavenderarch/runtime/cell_successor.h
+++ b/src/include/lavenderarch/runtime/cell_successor.h
@@ -106,7 +106,7 @@
         RowTransaction change;
         if (version)
             change.conditions.push_back({key, *version});
-        change.writes.push_back({key, Json(record).dump(), false});
+        change.writes.push_back({key, jsonText(record), false});
         return m_store.commit(change, BootClock::now() + ownershipCallTimeout);
     }
 
--- a/src/include/lavenderarch/runtime/owner_fence.h
+++ b/src/include/lavenderarch/runtime/owner_fence.h
@@ -132,7 +132,7 @@
         RowTransaction change;
         change.conditions.push_back({key, m_version});
         change.writes = writes;
-        change.writes.push_back({key, Json(next).dump(), false});
+        change.writes.push_back({key, jsonText(next), false});
         const BootTime sentAt = BootClock::now();
         const auto commit = m_store.commit(change, deadline);
         if (!commit.ok()) {
@@ -170,7 +170,7 @@
     bool isOwnWrite(const RowCommit &commit, const OwnerRecord &next)
     {
         for (const Row &row : commit.current) {
-            if (row.key == cells::ownerRowKey(m_cell) && row.value == Json(next).dump()) {
+            if (row.key == cells::ownerRowKey(m_cell) && row.value == jsonText(next)) {
                 m_version = row.version;
                 return true;
             }
--- a/src/include/lavenderarch/scheduling/cell_owner_impl.h
+++ b/src/include/lavenderarch/scheduling/cell_owner_impl.h
@@ -52,8 +52,8 @@
     head.horizon = std::max(head.horizon, now + leaseHorizon);
     head.writeId = makeUniqueId();
     const std::string key = cellHeadKey(m_cell);
-    const auto result = m_store.table().commit(
-        {{{key, current->second}}, {{key, Json(head).dump()}}}, storeDeadline());
+    const auto result = m_store.table().commit({{{key, current->second}}, {{key, jsonText(head)}}},
+                                               storeDeadline());
     if (result.ok() && !result->committed)
         return;
     const auto confirmed = m_store.head(m_cell, storeDeadline());
@@ -281,7 +281,7 @@
         const std::string key =
             inboxPrefix(environment.transferTargets[index]) + "transfer-" + makeUniqueId();
         change.conditions.push_back({key, 0});
-        change.writes.push_back({key, Json(items[index]).dump()});
+        change.writes.push_back({key, jsonText(items[index])});
     }
 }
 
@@ -312,7 +312,7 @@
     if (!job.lastReason.empty())
         total.lastReason = job.lastReason;
     change.conditions.push_back({row->key, row->version});
-    return TableWrite{row->key, Json(total).dump()};
+    return TableWrite{row->key, jsonText(total)};
 }
 
 /// Refunds the units of cancelled tasks that were never placed and so cannot have started.
@@ -331,7 +331,7 @@
         after.balance += units;
         after.spent -= units;
         change.conditions.push_back({row->key, row->version});
-        change.writes.push_back({row->key, Json(after).dump()});
+        change.writes.push_back({row->key, jsonText(after)});
     }
     return true;
 }
@@ -373,7 +373,7 @@
         return;
     const std::string name = cellSnapshotName(m_cell, m_head.sequence);
     const Status stored =
-        m_store.objects().put(name, m_scheduler.ledger().snapshot().dump(), storeDeadline());
+        m_store.objects().put(name, jsonText(m_scheduler.ledger().snapshot()), storeDeadline());
     if (!stored.ok())
         return;
     for (std::int64_t row = m_head.snapshotSequence + 1; row <= m_head.sequence; ++row)
@@ -404,7 +404,7 @@
     if (!pendingCommit.plan.changes.empty()) {
         ++pendingCommit.head.sequence;
         const std::string key = cellLogKey(m_cell, pendingCommit.head.sequence);
-        change.writes.push_back({key, Json(pendingCommit.plan.changes).dump()});
+        change.writes.push_back({key, jsonText(pendingCommit.plan.changes)});
     }
     if (m_pendingCommits.empty())
         takeSnapshot(change, pendingCommit.head);
@@ -417,7 +417,7 @@
 {
     const std::string key = cellHeadKey(m_cell);
     change.conditions.push_back({key, m_headVersion});
-    change.writes.push_back({key, Json(pendingCommit.head).dump()});
+    change.writes.push_back({key, jsonText(pendingCommit.head)});
     m_pendingCommits.push_back(std::move(pendingCommit));
     const auto result = m_store.table().commit(change, storeDeadline());
     if (!result.ok() && kindOf(result.status()) == ErrorKind::StoreUnavailable)
@@ -457,8 +457,8 @@
     head.ownerLease = TimePoint();
     const std::string key = cellHeadKey(m_cell);
     m_isOwner = false;
-    const auto result = m_store.table().commit({{{key, m_headVersion}}, {{key, Json(head).dump()}}},
-                                               storeDeadline());
+    const auto result =
+        m_store.table().commit({{{key, m_headVersion}}, {{key, jsonText(head)}}}, storeDeadline());
     if (!result.ok())
         logFailure("cell", "failed to release the cell", result.status(),
                    {{"cell", m_cell.text()}});
--- a/src/lavctl/table_printer.cpp
+++ b/src/lavctl/table_printer.cpp
@@ -14,7 +14,7 @@
     if (!row.contains(path))
         return "-";
     const Json &value = row.at(path);
-    return value.is_string() ? value.get<std::string>() : value.dump();
+    return value.is_string() ? value.get<std::string>() : jsonText(value);
 }
 
 std::string columnHeading(const std::string &pointer)
--- a/src/libapi/cell_manager.cpp
+++ b/src/libapi/cell_manager.cpp
@@ -84,7 +84,7 @@
         const CellMap adjusted = adjustCellMap(map, members);
         if (adjusted != map) {
             const auto result = m_dependencies.table.commit(
-                {{{key, row->version}}, {{key, Json(adjusted).dump()}}}, deadline);
+                {{{key, row->version}}, {{key, jsonText(adjusted)}}}, deadline);
             if (!result.ok() || !result->committed)
                 continue; // the next refresh reads the row again
         }
--- a/src/libapi/job_api.cpp
+++ b/src/libapi/job_api.cpp
@@ -38,7 +38,7 @@
         const CellId &cell = cells[static_cast<std::size_t>(index)].cell;
         const std::string key = inboxPrefix(cell) + "submit-" + job.spec.job.text();
         change.conditions.push_back({key, 0});
-        change.writes.push_back({key, Json(item).dump()});
+        change.writes.push_back({key, jsonText(item)});
     }
 }
 
@@ -157,7 +157,7 @@
     after.spent += cost;
     const std::string key = voucherKey(job.spec.customer);
     change.conditions.push_back({key, version});
-    change.writes.push_back({key, Json(after).dump()});
+    change.writes.push_back({key, jsonText(after)});
     return absl::OkStatus();
 }
 
@@ -190,7 +190,7 @@
         for (const CellHead &head : *cells)
             record.cells.push_back(head.cell);
         const std::string key = jobRowKey(job.spec.job);
-        const std::string value = Json(record).dump();
+        const std::string value = jsonText(record);
         TableTransaction change{{{key, 0}}, {{key, value}}};
         const Status charged = chargeVouchers(job, deadline, change);
         if (!charged.ok())
@@ -292,15 +292,14 @@
         record->cancelled = true;
         record->submission = makeUniqueId();
         const std::string rowKey = jobRowKey(key);
-        const std::string value = Json(*record).dump();
+        const std::string value = jsonText(*record);
         TableTransaction change{{{rowKey, version}}, {{rowKey, value}}};
         InboxItem item;
         item.kind = InboxKind::Cancel;
         item.spec.job = key;
         item.acceptedAt = SystemClock().now();
         for (const CellId &cell : m_cells.cells())
-            change.writes.push_back(
-                {inboxPrefix(cell) + "cancel-" + key.text(), Json(item).dump()});
+            change.writes.push_back({inboxPrefix(cell) + "cancel-" + key.text(), jsonText(item)});
         const auto result = m_committer.commit(change, {rowKey, value}, jobDeadline());
         if (!result.ok())
             return errorResponse(result.status());
@@ -356,10 +355,10 @@
                                 std::to_string(before->granted),
                                 std::to_string(after.granted),
                                 author->cause};
-        const std::string auditValue = Json(audit).dump();
+        const std::string auditValue = jsonText(audit);
         const std::string key = voucherKey(customer);
         const TableTransaction change{{{key, version}, {audit.key(), 0}},
-                                      {{key, Json(after).dump()}, {audit.key(), auditValue}}};
+                                      {{key, jsonText(after)}, {audit.key(), auditValue}}};
         const auto result = m_committer.commit(change, {audit.key(), auditValue}, jobDeadline());
         if (!result.ok())
             return errorResponse(result.status());
--- a/src/libconfig/manifest.cpp
+++ b/src/libconfig/manifest.cpp
@@ -66,7 +66,7 @@
         return stored.status();
     if (!stored->contains("version") || !stored->contains("document"))
         return makeError(ErrorKind::InvalidRequest, "stored manifest lacks version or document");
-    const auto manifest = parse(stored->at("document").dump());
+    const auto manifest = parse(jsonText(stored->at("document")));
     if (!manifest.ok())
         return manifest.status();
     return manifest->withVersion(stored->at("version").get<std::int64_t>());
@@ -76,7 +76,7 @@
 {
     if (m_version == 0)
         return {};
-    return Json{{"version", m_version}, {"document", m_document}}.dump();
+    return jsonText(Json{{"version", m_version}, {"document", m_document}});
 }
 
 Manifest Manifest::withVersion(std::int64_t version) const
--- a/src/libcore/json.cpp
+++ b/src/libcore/json.cpp
@@ -12,4 +12,9 @@
     }
 }
 
+std::string jsonText(const Json &value)
+{
+    return value.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
 } // namespace lavenderarch
--- a/src/libcore/json_text.cpp
+++ b/src/libcore/json_text.cpp
@@ -15,7 +15,7 @@
     if (plain)
         out.append("\"").append(text).append("\"");
     else
-        out += Json(text).dump(-1, ' ', false, Json::error_handler_t::replace);
+        out += jsonText(text);
 }
 
 } // namespace lavenderarch
--- a/src/libdispatch/cell_tables.cpp
+++ b/src/libdispatch/cell_tables.cpp
@@ -62,7 +62,7 @@
 
 RowWrite jobWrite(const std::string &cell, const JobSpec &job)
 {
-    return {jobKey(cell, job.id), Json(job).dump(), false};
+    return {jobKey(cell, job.id), jsonText(job), false};
 }
 
 RowWrite settledJobWrite(const std::string &cell, const std::string &job)
@@ -78,13 +78,13 @@
 RowWrite queuedWrite(const std::string &cell, const JobSpec &job)
 {
     const JobStateRow row{job.queue, JobPhase::Queued, job.occurrences > 0};
-    return {queuedKey(cell, job.id), Json(row).dump(), false};
+    return {queuedKey(cell, job.id), jsonText(row), false};
 }
 
 RowWrite stateWrite(const std::string &cell, const JobSpec &job, JobPhase phase)
 {
     const JobStateRow row{job.queue, phase, job.occurrences > 0};
-    return {stateKey(cell, job.id), Json(row).dump(), false};
+    return {stateKey(cell, job.id), jsonText(row), false};
 }
 
 RowWrite removal(RowKey key)
--- a/src/libdispatch/exchange_text.cpp
+++ b/src/libdispatch/exchange_text.cpp
@@ -71,7 +71,7 @@
         text.member("fills") += "true";
     text.add("image", order.image);
     if (order.kind != defaults.kind)
-        text.member("kind") += Json(order.kind).dump();
+        text.member("kind") += jsonText(order.kind);
     text.add("milliCores", order.milliCores, defaults.milliCores);
     text.add("payload", order.payload);
     appendRun(text.member("run"), order.run);
@@ -111,7 +111,7 @@
     text.addList("orders", reply.orders, appendOrder);
     text.add("snapshotSeen", reply.snapshotSeen, defaults.snapshotSeen);
     text.addList("weights", reply.weights,
-                 [](std::string &list, const TailWeight &weight) { list += Json(weight).dump(); });
+                 [](std::string &list, const TailWeight &weight) { list += jsonText(weight); });
     text.end();
     return out;
 }
@@ -124,7 +124,7 @@
     for (Json &end : text.at("ends"))
         eraseDefaults(end, endDefaults);
     eraseDefaults(text, defaults);
-    return text.dump();
+    return jsonText(text);
 }
 
 StatusOr<ExchangeRequest> readRequest(std::string_view text)
--- a/src/libdispatch/job_model.cpp
+++ b/src/libdispatch/job_model.cpp
@@ -186,7 +186,7 @@
 
 std::string JobModel::progressText() const
 {
-    std::string text = "{\"phase\":" + Json(m_phase).dump();
+    std::string text = "{\"phase\":" + jsonText(m_phase);
     if (!settled()) {
         text += ",\"tasks\":{";
         for (const auto &[number, occurrence] : m_occurrences) {
--- a/src/libdispatch/tail_model.cpp
+++ b/src/libdispatch/tail_model.cpp
@@ -116,7 +116,7 @@
     for (const auto &[pair, weight] : m_weights)
         pairs.push_back({pair.first, pair.second, std::lround(weight.value * 1000),
                          std::lround(weight.variance * 1000)});
-    return Json{{"weights", std::move(pairs)}}.dump();
+    return jsonText(Json{{"weights", std::move(pairs)}});
 }
 
 bool TailModel::load(const std::string &text)
--- a/src/libhttp/http_message.cpp
+++ b/src/libhttp/http_message.cpp
@@ -58,7 +58,7 @@
 
 HttpResponse jsonResponse(int status, const Json &body)
 {
-    return {status, {{header::contentType, "application/json"}}, body.dump() + "\n"};
+    return {status, {{header::contentType, "application/json"}}, jsonText(body) + "\n"};
 }
 
 HttpResponse errorResponse(const Status &error)
@@ -80,9 +80,10 @@
     if (!name)
         return absl::OkStatus();
     const ErrorKind kind = errorKindFromName(*name).value_or(ErrorKind::Internal);
-    const Json body = Json::parse(response.body, nullptr, false);
-    if (body.is_object() && body.contains("error") && body["error"].contains("message"))
-        return makeError(kind, body["error"]["message"].get<std::string>());
+    const auto body = parseJson(response.body, "error response");
+    const Json::json_pointer message("/error/message");
+    if (body.ok() && body->contains(message) && body->at(message).is_string())
+        return makeError(kind, body->at(message).get<std::string>());
     return makeError(kind, *name);
 }
 
--- a/src/libhttp/http_server.cpp
+++ b/src/libhttp/http_server.cpp
@@ -1,6 +1,8 @@
 // HTTP server based on CivetWeb.
 #include "lavenderarch/http/http_server.h"
 
+#include "lavenderarch/telemetry/log.h"
+
 #include <array>
 #include <atomic>
 #include <civetweb.h>
@@ -51,6 +53,19 @@
     return reusable;
 }
 
+/// An exception that left the handler would end the process.
+HttpResponse callHandler(const HttpServer::Handler &handler, const HttpRequest &request)
+{
+    try {
+        return handler(request);
+    } catch (const std::exception &error) {
+        const Status failed = makeError(ErrorKind::Internal, error.what());
+        logFailure("http", "request failed with an exception", failed,
+                   {{"method", request.method}, {"path", request.path}});
+        return errorResponse(failed);
+    }
+}
+
 HttpRequest parseRequestHead(const mg_request_info &info)
 {
     HttpRequest request;
@@ -111,7 +126,7 @@
             mg_disable_connection_keep_alive(connection);
             return 413;
         }
-        const HttpResponse response = handler(request);
+        const HttpResponse response = callHandler(handler, request);
         const bool dropConnection = response.status == dropConnectionStatus;
         if (dropConnection || !writeResponse(connection, response, draining))
             mg_disable_connection_keep_alive(connection);
--- a/src/libhttp/http_test.cpp
+++ b/src/libhttp/http_test.cpp
@@ -126,3 +126,37 @@
         CHECK(response->body == path);
     }
 }
+
+// An error that quoted a caller's bytes could not be written and ended the process.
+TEST_CASE("texts that are not UTF-8 are answered with replacement characters")
+{
+    const HttpResponse response = errorResponse(makeError(ErrorKind::NotFound, "no path /\xff"));
+    CHECK(response.status == 404);
+    CHECK(response.body.find("/\xef\xbf\xbd") != std::string::npos);
+}
+
+// The exception left the server's thread and ended the process.
+TEST_CASE("a handler that throws is answered with an error, and the server goes on")
+{
+    const Address address("127.0.0.1", 18096);
+    const auto server = HttpServer::start(address, {}, [](const HttpRequest &request) {
+        if (request.path == "/odd")
+            throw std::out_of_range("odd");
+        return HttpResponse{200, {}, "ok"};
+    });
+    REQUIRE(server.ok());
+    HttpClient client;
+    for (const auto &[path, status] : {std::pair("/odd", 500), std::pair("/good", 200)}) {
+        const auto response = client.exchange(address, {"GET", path, "", {}, ""}, testDeadline());
+        REQUIRE(response.ok());
+        CHECK(response->status == status);
+    }
+}
+
+TEST_CASE("an error response without a readable message keeps its kind")
+{
+    for (const char *body : {"", "\xff", "[]", "{\"error\":7}", "{\"error\":{\"message\":[1]}}"}) {
+        const HttpResponse response{409, {{header::errorKind, "stale-command"}}, body};
+        CHECK(kindOf(errorFromResponse(response)) == ErrorKind::StaleCommand);
+    }
+}
--- a/src/libprotocol/rpc_channel.cpp
+++ b/src/libprotocol/rpc_channel.cpp
@@ -27,7 +27,7 @@
         response = std::move(httpResponse->body);
         return true;
     };
-    const RpcClientResult result = callJsonRpc(transport, method, parameters.dump());
+    const RpcClientResult result = callJsonRpc(transport, method, jsonText(parameters));
     if (result.ok)
         return parseJson(result.result, method);
     if (!transportError.ok())
--- a/src/libstorage/http_table.cpp
+++ b/src/libstorage/http_table.cpp
@@ -36,7 +36,7 @@
 
 StatusOr<CommitResult> HttpTable::commit(const TableTransaction &change, TimePoint deadline)
 {
-    const HttpRequest request{"POST", "/v1/table/commit", "", {}, Json(change).dump()};
+    const HttpRequest request{"POST", "/v1/table/commit", "", {}, jsonText(change)};
     const auto response =
         exchangeWithPlatform(m_client, m_address, request, deadline, Resend::Never);
     if (!response.ok())
--- a/src/libstorage/http_workers.cpp
+++ b/src/libstorage/http_workers.cpp
@@ -38,7 +38,7 @@
                                                        TimePoint deadline)
 {
     const HttpRequest request{
-        "POST", "/v1/workers/" + worker.text() + "/commands", "", {}, Json(commands).dump()};
+        "POST", "/v1/workers/" + worker.text() + "/commands", "", {}, jsonText(commands)};
     const auto response =
         exchangeWithPlatform(m_client, m_address, request, deadline, Resend::OnClosedConnection);
     if (!response.ok())
