Numbers, names and nesting that others wrote are checked in one place

Callers saw: capacities of 1e300 and -5 were accepted (more placed than fits), a birth of 1e300 (each later check-in is older), a step of 4,294,967,297 tasks was taken as 1, a listing with one odd row was dropped whole at each poll, and a run that ended in an unknown way counted as done.

Cause: nlohmann's conversions wrap around or, for doubles, are undefined and differ between arm64 and x86-64; its enumerations read an unknown name as the first one ("done", "queued", "serving"); readers decided row by row whether an exception was caught. Sums and products of such numbers overflowed (occurrence times, work, task counts, lease times).

- json_integers.h: integers in all records are converted exactly or rejected; ranges where sums need them (validateFacts, validateJob, decoders), with errors that name the field.
- parseJson() rejects more than 64 levels before a tree is built and is the only parser of texts of others; RequestReader has its own bound.
- LAVENDER_JSON_ENUM rejects unknown names.
Only RequestFate keeps the library's macro, as its first name is "unknown".
- A listing: a row that names no run is left out and counted; while there is one, no run counts as missing, as it may be that row.
An unknown end is "stopped", so that it can be acknowledged.
- A job row's id must be its key (it was kept under both); a progress row is read whole or not at all; due occurrences are limited to what a progress row of the store holds; a tail model is clamped.
- An owner row that cannot be read had left the cell without an owner for good.
It may be taken over like an idle one; the epoch is the row's version + 1, which no former epoch exceeds, as each takeover is a transaction.

--- a/src/include/lavenderarch/core/json.h
+++ b/src/include/lavenderarch/core/json.h
@@ -1,6 +1,7 @@
 // The JSON value type and parsing that reports errors as Status.
 #pragma once
 
+#include "lavenderarch/core/json_integers.h"
 #include "lavenderarch/core/status.h"
 
 #include <nlohmann/json.hpp>
@@ -10,7 +11,12 @@
 
 using Json = nlohmann::json;
 
-/// Parses `text`; `what` names the document in the error message.
+/// Nesting of arrays and objects beyond which a text is rejected. Copying, comparing and writing a
+/// Json value recurse.
+inline constexpr int maxJsonDepth = 64;
+
+/// Parses `text`, the only way to do so for a text that others wrote; `what` names the document in
+/// the error message.
 StatusOr<Json> parseJson(std::string_view text, std::string_view what);
 
 /// The text of `value`. Bytes that are not UTF-8 become replacement characters.
--- a/src/include/lavenderarch/core/resources.h
+++ b/src/include/lavenderarch/core/resources.h
@@ -34,6 +34,11 @@
     {
         return m_milliCores >= 0 && m_memoryMib >= 0 && m_accelerators >= 0;
     }
+    /// True when no component is negative or above `max`.
+    constexpr bool isWithin(std::int64_t max) const
+    {
+        return isValid() && m_milliCores <= max && m_memoryMib <= max && m_accelerators <= max;
+    }
     std::string text() const;
 
     friend constexpr Resources operator+(const Resources &left, const Resources &right)
--- a/src/include/lavenderarch/dispatch/exchange_request.h
+++ b/src/include/lavenderarch/dispatch/exchange_request.h
@@ -6,6 +6,8 @@
 #include "lavenderarch/dispatch/run_end.h"
 #include "lavenderarch/dispatch/run_report.h"
 
+#include <algorithm>
+
 namespace lavenderarch {
 
 /// Value type. The snapshot (facts, runs, ends, orderSeen) is consistent. `number` increases with
@@ -35,6 +37,13 @@
     MinionIncarnation incarnation; ///< of a brief message: what its runs and ends refer to
     std::int64_t snapshot = 0;     ///< of a brief message: number of the snapshot it builds on
 
+    /// waitMs within the limits of what an owner grants.
+    std::int64_t boundedWaitMs() const
+    {
+        constexpr std::int64_t maxWaitMs = 60'000;
+        return std::clamp<std::int64_t>(waitMs, 0, maxWaitMs);
+    }
+
     friend bool operator==(const ExchangeRequest &, const ExchangeRequest &) = default;
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(ExchangeRequest, agent, session, number, epoch,
                                                 registered, listed, reachable, facts, runs, ends,
--- a/src/include/lavenderarch/dispatch/job_phase.h
+++ b/src/include/lavenderarch/dispatch/job_phase.h
@@ -1,17 +1,17 @@
 // Phase of a job as reported to callers.
 #pragma once
 
-#include "lavenderarch/core/json.h"
+#include "lavenderarch/core/json_enum.h"
 
 namespace lavenderarch {
 
 enum class JobPhase { Queued, Running, Done, Failed, Cancelled };
 
-NLOHMANN_JSON_SERIALIZE_ENUM(JobPhase, {{JobPhase::Queued, "queued"},
-                                        {JobPhase::Running, "running"},
-                                        {JobPhase::Done, "done"},
-                                        {JobPhase::Failed, "failed"},
-                                        {JobPhase::Cancelled, "cancelled"}})
+LAVENDER_JSON_ENUM(JobPhase, {{JobPhase::Queued, "queued"},
+                              {JobPhase::Running, "running"},
+                              {JobPhase::Done, "done"},
+                              {JobPhase::Failed, "failed"},
+                              {JobPhase::Cancelled, "cancelled"}})
 
 /// True for a phase that a job never leaves.
 constexpr bool isFinal(JobPhase phase)
--- a/src/include/lavenderarch/dispatch/minion_facts.h
+++ b/src/include/lavenderarch/dispatch/minion_facts.h
@@ -22,6 +22,10 @@
     friend bool operator==(const MinionFacts &, const MinionFacts &) = default;
 };
 
+/// OK when sums of the facts of many minions fit into their types; else an error that names the
+/// first field that is out of range.
+Status validateFacts(const MinionFacts &facts);
+
 /// Every member has the key of its name, except that `incarnation` has the key "life". A missing
 /// key takes the default of its member; a value of a wrong type throws Json::exception.
 void to_json(Json &out, const MinionFacts &facts);
--- a/src/include/lavenderarch/dispatch/minion_listing.h
+++ b/src/include/lavenderarch/dispatch/minion_listing.h
@@ -25,6 +25,8 @@
     std::int64_t bornMs = 0;  ///< incarnation that answered; 0 if the minion does not report it
     std::vector<Active> active;
     std::vector<RunEnd> ends;
+    /// Rows left out since they name no run. A run that is not listed may be one of them.
+    std::size_t unreadableRows = 0;
 
     friend bool operator==(const MinionListing &, const MinionListing &) = default;
 };
--- a/src/include/lavenderarch/dispatch/run_end.h
+++ b/src/include/lavenderarch/dispatch/run_end.h
@@ -1,6 +1,7 @@
 // The end of one run, as reported by the minion or its agent.
 #pragma once
 
+#include "lavenderarch/core/json_enum.h"
 #include "lavenderarch/dispatch/run_key.h"
 
 namespace lavenderarch {
@@ -18,13 +19,13 @@
     Absent
 };
 
-NLOHMANN_JSON_SERIALIZE_ENUM(RunOutcome, {{RunOutcome::Done, "done"},
-                                          {RunOutcome::Failed, "failed"},
-                                          {RunOutcome::Stopped, "stopped"},
-                                          {RunOutcome::Lapsed, "lapsed"},
-                                          {RunOutcome::Broken, "broken"},
-                                          {RunOutcome::Alone, "alone"},
-                                          {RunOutcome::Absent, "absent"}})
+LAVENDER_JSON_ENUM(RunOutcome, {{RunOutcome::Done, "done"},
+                                {RunOutcome::Failed, "failed"},
+                                {RunOutcome::Stopped, "stopped"},
+                                {RunOutcome::Lapsed, "lapsed"},
+                                {RunOutcome::Broken, "broken"},
+                                {RunOutcome::Alone, "alone"},
+                                {RunOutcome::Absent, "absent"}})
 
 /// Value type. `number` orders the ends of one incarnation of the minion, from 1. It is 0 for
 /// Absent, which the agent reports instead of the minion.
--- a/src/include/lavenderarch/dispatch/run_ledger.h
+++ b/src/include/lavenderarch/dispatch/run_ledger.h
@@ -60,6 +60,9 @@
     /// the old one. Returns false and ignores facts of an older incarnation, or of the same
     /// one unless `sequence` is newer.
     bool updateFacts(const MinionFacts &facts, std::int64_t sequence);
+    /// The next facts of the current incarnation count, whatever their sequence; not of a minion
+    /// that has left, as only a late check-in can follow.
+    void forgetFactsSequence();
     /// The minion has left or has registered with another agent. Its runs end as Absent.
     void minionLeft(const std::string &id);
 
@@ -135,6 +138,7 @@
     std::int64_t m_orderSeen = 0;
     std::int64_t m_listedEpoch = -1;
     bool m_registered = false;
+    bool m_left = false; // the current incarnation has deregistered
     bool m_reachable = false;
     bool m_unreportedChanges = false;
     bool m_ownerHasSnapshot = false;   // the last reply allows brief messages
--- a/src/include/lavenderarch/dispatch/run_order.h
+++ b/src/include/lavenderarch/dispatch/run_order.h
@@ -1,6 +1,7 @@
 // An order from the owner of a cell to an agent.
 #pragma once
 
+#include "lavenderarch/core/json_enum.h"
 #include "lavenderarch/dispatch/run_key.h"
 
 namespace lavenderarch {
@@ -11,9 +12,9 @@
     Describe ///< describes a run to an agent that has restarted
 };
 
-NLOHMANN_JSON_SERIALIZE_ENUM(OrderKind, {{OrderKind::Start, "start"},
-                                         {OrderKind::Stop, "stop"},
-                                         {OrderKind::Describe, "describe"}})
+LAVENDER_JSON_ENUM(OrderKind, {{OrderKind::Start, "start"},
+                               {OrderKind::Stop, "stop"},
+                               {OrderKind::Describe, "describe"}})
 
 /// Value type. `sequence` numbers the orders to one session of an agent, from 1.
 struct RunOrder
--- a/src/include/lavenderarch/dispatch/step_spec.h
+++ b/src/include/lavenderarch/dispatch/step_spec.h
@@ -7,6 +7,11 @@
 
 namespace lavenderarch {
 
+/// Limit on each component of a step's demand and a minion's capacity, and on durations in
+/// milliseconds (30 years): sums over all tasks and minions of a cell fit into 64 bits.
+inline constexpr std::int64_t maxResourceAmount = 1'000'000'000'000;
+inline constexpr std::int64_t maxDurationMs = 1'000'000'000'000;
+
 /// Value type. Times in milliseconds. An empty text or a 0 means no requirement.
 struct StepSpec
 {
--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -115,7 +115,7 @@
     StatusOr<ExchangeReply> exchange(const ExchangeRequest &request)
     {
         const BootTime arrived = BootClock::now();
-        const BootTime until = arrived + Milliseconds(request.waitMs);
+        const BootTime until = arrived + Milliseconds(request.boundedWaitMs());
         std::unique_lock lock(m_mutex);
         const bool waited = m_state == State::Loading;
         // An agent that does not know the epoch yet learns it at once.
--- a/src/include/lavenderarch/runtime/owner_fence.h
+++ b/src/include/lavenderarch/runtime/owner_fence.h
@@ -53,19 +53,17 @@
         m_record = {};
         if (row->version != 0) {
             const auto record = parseAs<OwnerRecord>(row->value, "owner row");
-            if (!record.ok()) {
-                logFailure("cell", "cannot parse the owner row", record.status(),
-                           {{"cell", m_cell}});
-                return false;
-            }
-            m_record = *record;
+            if (record.ok() && record->epoch >= 0 && record->epoch <= maxExactInteger)
+                m_record = *record;
+            else
+                m_record = unreadableRecord(*row, record.status());
         }
         m_version = row->version;
         return watch.observe(m_record, row->version, sentAt, BootClock::now());
     }
 
-    /// Makes this process the owner in the next epoch, on the condition that the row is as
-    /// claimable() has read it.
+    /// Makes this process the owner in the next epoch, which is above all former ones, on the
+    /// condition that the row is as claimable() has read it.
     bool claim(const OwnershipWatch &watch)
     {
         const OwnerRecord previous = m_record;
@@ -121,6 +119,18 @@
     BootTime renewedAt() const { return m_renewedAt.load(); }
 
 private:
+    /// What takes the place of a row that another writer has left. Each takeover is a transaction
+    /// and raises the epoch by one, so no epoch is above the version of the row.
+    OwnerRecord unreadableRecord(const Row &row, const Status &error)
+    {
+        if (std::exchange(m_unreadableVersion, row.version) != row.version)
+            logFailure("cell", "cannot read the owner row; it may be taken over like an idle one",
+                       error, {{"cell", m_cell}, {"rowVersion", std::to_string(row.version)}});
+        OwnerRecord record;
+        record.epoch = row.version;
+        return record;
+    }
+
     Outcome commit(const std::vector<RowWrite> &writes, BootTime deadline)
     {
         const RowKey key = cells::ownerRowKey(m_cell);
@@ -183,8 +193,9 @@
     const std::string m_cell;
     const std::string m_owner;
     const std::string m_address;
-    OwnerRecord m_record;       // as last written or read
-    std::int64_t m_version = 0; // of the owner row
+    OwnerRecord m_record;                 // as last written or read
+    std::int64_t m_version = 0;           // of the owner row
+    std::int64_t m_unreadableVersion = 0; // of the owner row when it was last not readable
     AdaptiveTimeout m_commitTimeout;
     std::string m_pendingMark; // of a write with unknown outcome
     std::atomic<BootTime> m_renewedAt{BootTime{}};
--- a/src/include/lavenderarch/scheduling/inbox_item.h
+++ b/src/include/lavenderarch/scheduling/inbox_item.h
@@ -1,15 +1,16 @@
 // A row of a cell's inbox: submitted or transferred tasks, or a cancellation.
 #pragma once
 
+#include "lavenderarch/core/json_enum.h"
 #include "lavenderarch/scheduling/ledger_task.h"
 
 namespace lavenderarch {
 
 enum class InboxKind { Submit, Transfer, Cancel };
 
-NLOHMANN_JSON_SERIALIZE_ENUM(InboxKind, {{InboxKind::Submit, "submit"},
-                                         {InboxKind::Transfer, "transfer"},
-                                         {InboxKind::Cancel, "cancel"}})
+LAVENDER_JSON_ENUM(InboxKind, {{InboxKind::Submit, "submit"},
+                               {InboxKind::Transfer, "transfer"},
+                               {InboxKind::Cancel, "cancel"}})
 
 /// Row `inbox/<cell>/...`. Submit: tasks firstTask .. firstTask + taskCount - 1 of `spec`.
 /// Transfer: `tasks` in the state in which they left another cell. Cancel: all tasks of `spec.job`.
--- a/src/include/lavenderarch/scheduling/ledger_change.h
+++ b/src/include/lavenderarch/scheduling/ledger_change.h
@@ -1,6 +1,7 @@
 // One committed change of a cell's ledger.
 #pragma once
 
+#include "lavenderarch/core/json_enum.h"
 #include "lavenderarch/scheduling/ledger_task.h"
 #include "lavenderarch/storage/worker_info.h"
 
@@ -18,15 +19,15 @@
     WorkersChanged ///< `workers` replaces the cell's list of workers
 };
 
-NLOHMANN_JSON_SERIALIZE_ENUM(ChangeKind, {{ChangeKind::TasksAdded, "added"},
-                                          {ChangeKind::TaskPlaced, "placed"},
-                                          {ChangeKind::TaskRequeued, "requeued"},
-                                          {ChangeKind::TaskDone, "done"},
-                                          {ChangeKind::TaskFailed, "failed"},
-                                          {ChangeKind::TaskCancelled, "cancelled"},
-                                          {ChangeKind::TaskMoved, "moved"},
-                                          {ChangeKind::JobReported, "reported"},
-                                          {ChangeKind::WorkersChanged, "workers"}})
+LAVENDER_JSON_ENUM(ChangeKind, {{ChangeKind::TasksAdded, "added"},
+                                {ChangeKind::TaskPlaced, "placed"},
+                                {ChangeKind::TaskRequeued, "requeued"},
+                                {ChangeKind::TaskDone, "done"},
+                                {ChangeKind::TaskFailed, "failed"},
+                                {ChangeKind::TaskCancelled, "cancelled"},
+                                {ChangeKind::TaskMoved, "moved"},
+                                {ChangeKind::JobReported, "reported"},
+                                {ChangeKind::WorkersChanged, "workers"}})
 
 /// Value type. Fields that a kind does not use keep their defaults and are not written.
 struct LedgerChange
--- a/src/include/lavenderarch/scheduling/ledger_task.h
+++ b/src/include/lavenderarch/scheduling/ledger_task.h
@@ -1,6 +1,7 @@
 // State of a task in a cell's ledger.
 #pragma once
 
+#include "lavenderarch/core/json_enum.h"
 #include "lavenderarch/scheduling/task_spec.h"
 
 #include <memory>
@@ -9,8 +10,7 @@
 
 enum class TaskPhase { Queued, Placed };
 
-NLOHMANN_JSON_SERIALIZE_ENUM(TaskPhase,
-                             {{TaskPhase::Queued, "queued"}, {TaskPhase::Placed, "placed"}})
+LAVENDER_JSON_ENUM(TaskPhase, {{TaskPhase::Queued, "queued"}, {TaskPhase::Placed, "placed"}})
 
 /// Value type. `incarnation` counts the placements of the task; only the latest may run.
 /// `worker`, `reserved`, `startBy` and `placedAt` are meaningful while Placed.
--- a/src/include/lavenderarch/storage/task_report.h
+++ b/src/include/lavenderarch/storage/task_report.h
@@ -2,16 +2,17 @@
 #pragma once
 
 #include "lavenderarch/core/identifiers.h"
+#include "lavenderarch/core/json_enum.h"
 #include "lavenderarch/core/json_types.h"
 
 namespace lavenderarch {
 
 enum class TaskRunState { Running, Done, Failed, Stopped };
 
-NLOHMANN_JSON_SERIALIZE_ENUM(TaskRunState, {{TaskRunState::Running, "running"},
-                                            {TaskRunState::Done, "done"},
-                                            {TaskRunState::Failed, "failed"},
-                                            {TaskRunState::Stopped, "stopped"}})
+LAVENDER_JSON_ENUM(TaskRunState, {{TaskRunState::Running, "running"},
+                                  {TaskRunState::Done, "done"},
+                                  {TaskRunState::Failed, "failed"},
+                                  {TaskRunState::Stopped, "stopped"}})
 
 /// Value type. `slowdown` is the observed time per unit of work relative to running alone
 /// (1 = none). `checkpoint` is the progress saved when a checkpoint stopped the task, else 0.
--- a/src/include/lavenderarch/storage/worker_command.h
+++ b/src/include/lavenderarch/storage/worker_command.h
@@ -2,17 +2,18 @@
 #pragma once
 
 #include "lavenderarch/core/identifiers.h"
+#include "lavenderarch/core/json_enum.h"
 #include "lavenderarch/core/json_types.h"
 
 namespace lavenderarch {
 
 enum class WorkerCommandKind { Start, Stop, Checkpoint, Throttle, Renew };
 
-NLOHMANN_JSON_SERIALIZE_ENUM(WorkerCommandKind, {{WorkerCommandKind::Start, "start"},
-                                                 {WorkerCommandKind::Stop, "stop"},
-                                                 {WorkerCommandKind::Checkpoint, "checkpoint"},
-                                                 {WorkerCommandKind::Throttle, "throttle"},
-                                                 {WorkerCommandKind::Renew, "renew"}})
+LAVENDER_JSON_ENUM(WorkerCommandKind, {{WorkerCommandKind::Start, "start"},
+                                       {WorkerCommandKind::Stop, "stop"},
+                                       {WorkerCommandKind::Checkpoint, "checkpoint"},
+                                       {WorkerCommandKind::Throttle, "throttle"},
+                                       {WorkerCommandKind::Renew, "renew"}})
 
 /// Value type. A worker rejects a command whose (epoch, incarnation) is lower than the highest it
 /// has seen for the task, and a start after `startBy`. It stops the task itself at
--- a/src/libapi/job_api.cpp
+++ b/src/libapi/job_api.cpp
@@ -322,7 +322,7 @@
         return errorResponse(rows.status());
     Json balances = Json::array();
     for (const TableRow &row : *rows)
-        balances.push_back(Json::parse(row.value, nullptr, false));
+        balances.push_back(parseJson(row.value, row.key).value_or(Json()));
     return jsonResponse(200, balances);
 }
 
@@ -331,10 +331,11 @@
     const auto author = authorOf(request);
     if (!author.ok())
         return errorResponse(author.status());
-    const Json body = Json::parse(request.body, nullptr, false);
+    const Json body = parseJson(request.body, "request").value_or(Json());
     const bool valid = body.is_object() && body.contains("customer") &&
                        body["customer"].is_string() && body.contains("units") &&
-                       body["units"].is_number_integer() && body["units"].get<std::int64_t>() > 0;
+                       body["units"].is_number_integer() && body["units"] > 0 &&
+                       body["units"] <= maxExactInteger;
     if (!valid)
         return errorResponse(makeError(ErrorKind::InvalidRequest,
                                        "/customer must be a string, /units a positive integer"));
--- a/src/libapi/operator_api.cpp
+++ b/src/libapi/operator_api.cpp
@@ -185,7 +185,7 @@
         return errorResponse(rows.status());
     Json list = Json::array();
     for (const TableRow &row : *rows)
-        list.push_back(Json::parse(row.value, nullptr, false));
+        list.push_back(parseJson(row.value, row.key).value_or(Json()));
     return jsonResponse(200, list);
 }
 
--- a/src/libconfig/program_settings.cpp
+++ b/src/libconfig/program_settings.cpp
@@ -45,8 +45,7 @@
     if (equals == std::string::npos || equals == 0)
         return makeError(ErrorKind::InvalidRequest, "--set " + assignment + " is not key=value");
     const std::string text = assignment.substr(equals + 1);
-    const Json parsed = Json::parse(text, nullptr, false);
-    values[assignment.substr(0, equals)] = parsed.is_discarded() ? Json(text) : parsed;
+    values[assignment.substr(0, equals)] = parseJson(text, assignment).value_or(Json(text));
     return absl::OkStatus();
 }
 
--- a/src/libcore/core_test.cpp
+++ b/src/libcore/core_test.cpp
@@ -62,3 +62,39 @@
     REQUIRE_FALSE(parsed.ok());
     CHECK(messageOf(parsed.status()).find("manifest") == 0);
 }
+
+TEST_CASE("numbers are converted exactly or rejected with an error that names the field")
+{
+    const auto read = [](const char *text) {
+        return toInteger(Json::parse(text), "born", {-5, 9});
+    };
+    CHECK(read("9") == 9);
+    CHECK(read("-5") == -5);
+    CHECK(read("7.0") == 7);
+    CHECK(read("-0") == 0);
+    CHECK(read("-0.0") == 0);
+    for (const char *odd : {"10", "-6", "1.5", "1e300", "-1e300", "18446744073709551615",
+                            "9223372036854775808", "12345678901234567890123", "\"7\"", "null"}) {
+        CAPTURE(odd);
+        CHECK_THROWS_WITH_AS(read(odd), doctest::Contains("born"), Json::exception);
+    }
+    CHECK(toTruncatedInteger(Json(8.9), "born", {}) == 8);
+    CHECK_THROWS_AS(toTruncatedInteger(Json(1e300), "born", {}), Json::exception);
+    CHECK(Json(std::int64_t{9223372036854775807}).get<std::int64_t>() == 9223372036854775807);
+    CHECK_THROWS_AS(Json(4294967297).get<int>(), Json::exception);
+    CHECK_THROWS_AS(Json(9223372036854775808.0).get<std::int64_t>(), Json::exception);
+}
+
+TEST_CASE("a text may be nested up to a limit")
+{
+    const auto nested = [](std::size_t depth) {
+        return std::string(depth, '[') + std::string(depth, ']');
+    };
+    CHECK(parseJson(nested(maxJsonDepth), "x").ok());
+    CHECK_FALSE(parseJson(nested(maxJsonDepth + 1), "x").ok());
+    CHECK_FALSE(parseJson(std::string(5'000'000, '['), "x").ok());
+    std::string flat = "[";
+    for (int item = 0; item < 1000; ++item)
+        flat += R"([{"a\"[[[":["{{"]}],)";
+    CHECK(parseJson(flat + "1]", "x").ok());
+}
--- a/src/libdispatch/cell_dispatcher.cpp
+++ b/src/libdispatch/cell_dispatcher.cpp
@@ -143,7 +143,10 @@
         return;
     }
     const auto spec = parseAs<JobSpec>(row.value, "job row " + row.key.key);
-    const Status valid = spec.ok() ? validateJob(*spec) : spec.status();
+    const bool named = spec.ok() && spec->id == row.key.key && !spec->id.empty();
+    const Status valid = !spec.ok() ? spec.status()
+                         : named    ? validateJob(*spec)
+                                 : makeError(ErrorKind::InvalidRequest, "id is not the row's key");
     if (!valid.ok()) {
         recordEvent("job row is invalid", {{"job", row.key.key}, {"error", messageOf(valid)}});
         return;
--- a/src/libdispatch/dispatch_json.cpp
+++ b/src/libdispatch/dispatch_json.cpp
@@ -116,6 +116,18 @@
     facts.remainingMs = in.value("remainingMs", defaults.remainingMs);
 }
 
+Status validateFacts(const MinionFacts &facts)
+{
+    if (!facts.capacity.isWithin(maxResourceAmount))
+        return makeError(ErrorKind::InvalidRequest, "capacity is out of range");
+    const auto isTime = [](std::int64_t value) { return value >= 0 && value <= maxExactInteger; };
+    if (!isTime(facts.remainingMs))
+        return makeError(ErrorKind::InvalidRequest, "remainingMs is out of range");
+    if (!isTime(facts.incarnation.bornMs))
+        return makeError(ErrorKind::InvalidRequest, "bornMs is out of range");
+    return absl::OkStatus();
+}
+
 void to_json(Json &out, const ExchangeReply &reply)
 {
     out["epoch"] = reply.epoch;
--- a/src/libdispatch/exchange_text.cpp
+++ b/src/libdispatch/exchange_text.cpp
@@ -129,9 +129,15 @@
 
 StatusOr<ExchangeRequest> readRequest(std::string_view text)
 {
-    if (auto request = RequestReader::read(text))
-        return *std::move(request);
-    return parseAs<ExchangeRequest>(text, "exchange");
+    auto fast = RequestReader::read(text);
+    auto request = fast ? StatusOr<ExchangeRequest>(*std::move(fast))
+                        : parseAs<ExchangeRequest>(text, "exchange");
+    if (!request.ok())
+        return request;
+    const Status valid = validateFacts(request->facts);
+    if (!valid.ok())
+        return valid;
+    return request;
 }
 
 } // namespace lavenderarch
--- a/src/libdispatch/job_model.cpp
+++ b/src/libdispatch/job_model.cpp
@@ -8,6 +8,14 @@
 namespace lavenderarch {
 namespace {
 
+/// Work above this counts as this, so that sums fit into 64 bits.
+constexpr std::int64_t maxWork = maxExactInteger;
+/// Limit on the tasks of all occurrences that are due: the store's row of 64 KiB has two bytes for
+/// each of them.
+constexpr std::size_t maxDueTasks = 32'768;
+/// Highest run number that is read; new ones follow it.
+constexpr std::int64_t maxRunNumber = 1'000'000'000;
+
 /// A done task is stored as 1, a task that has never run as 0, and any other as an array. Placed
 /// and Stopping are stored alike, and a task in Stopping is loaded as Placed.
 void appendTask(std::string &out, const TaskState &task)
@@ -47,12 +55,13 @@
 {
     TaskState task;
     if (stored.is_number()) {
-        task.phase = stored.get<int>() == 1 ? TaskPhase::Done : TaskPhase::Waiting;
+        task.phase = toInteger(stored, "task", {0, 1}) == 1 ? TaskPhase::Done : TaskPhase::Waiting;
         return task;
     }
-    task.phase = stored.at(0).get<int>() == 1 ? TaskPhase::Placed : TaskPhase::Waiting;
-    task.run = stored.at(1).get<int>();
-    task.failures = stored.at(2).get<int>();
+    task.phase =
+        toInteger(stored.at(0), "active", {0, 1}) == 1 ? TaskPhase::Placed : TaskPhase::Waiting;
+    task.run = static_cast<int>(toInteger(stored.at(1), "run", {1, maxRunNumber}));
+    task.failures = static_cast<int>(toInteger(stored.at(2), "failures", {0, maxRunNumber}));
     task.checkpoint = stored.at(3).get<std::string>();
     if (task.active()) {
         task.agent = stored.at(4).get<std::string>();
@@ -69,6 +78,14 @@
     return occurrence;
 }
 
+/// Work of one task in millicores times milliseconds, at most maxWork.
+std::int64_t workOf(const StepSpec &step)
+{
+    const double work =
+        static_cast<double>(step.demand.milliCores()) * static_cast<double>(step.estimateMs);
+    return static_cast<std::int64_t>(std::min(work, static_cast<double>(maxWork)));
+}
+
 bool allDone(const std::vector<TaskState> &tasks)
 {
     return std::all_of(tasks.begin(), tasks.end(),
@@ -87,10 +104,13 @@
 
 bool JobModel::addDueOccurrences(std::int64_t timeOfDayMs)
 {
+    std::size_t tasks = 0;
+    for (const StepSpec &step : m_spec.steps)
+        tasks += static_cast<std::size_t>(step.count);
     bool added = false;
     for (int number = 0; number < m_spec.occurrences; ++number) {
         const std::int64_t due = m_spec.firstDueMs + number * m_spec.intervalMs;
-        if (due > timeOfDayMs)
+        if (due > timeOfDayMs || m_occurrences.size() * tasks >= maxDueTasks)
             break;
         added = m_occurrences.try_emplace(number, emptyOccurrence(m_spec)).second || added;
     }
@@ -144,10 +164,10 @@
     for (const auto &[number, occurrence] : m_occurrences) {
         for (std::size_t step = 0; step < occurrence.size(); ++step) {
             const StepSpec &spec = m_spec.steps[step];
-            const std::int64_t work =
-                spec.longRunning ? 0 : spec.demand.milliCores() * spec.estimateMs;
+            const std::int64_t work = spec.longRunning ? 0 : workOf(spec);
             for (const TaskState &task : occurrence[step]) {
-                m_remainingWork += task.phase == TaskPhase::Done ? 0 : work;
+                if (task.phase != TaskPhase::Done)
+                    m_remainingWork = std::min(m_remainingWork + work, maxWork);
                 m_active += task.active() ? 1 : 0;
                 begun = begun || task.failures > 0 || task.phase == TaskPhase::Done;
                 done = done && task.phase == TaskPhase::Done;
@@ -204,9 +224,10 @@
 bool JobModel::isSettled(const std::string &text)
 {
     const auto stored = parseJson(text, "progress");
-    return stored.ok() && stored->is_object() && stored->contains("phase") &&
-           stored->at("phase").is_string() && !stored->contains("tasks") &&
-           isFinal(stored->at("phase").get<JobPhase>());
+    if (!stored.ok() || !stored->is_object() || stored->contains("tasks"))
+        return false;
+    const auto phase = fromJson<JobPhase>(stored->value("phase", Json()), "phase");
+    return phase.ok() && isFinal(*phase);
 }
 
 Status JobModel::loadProgress(const std::string &text)
@@ -215,21 +236,28 @@
     if (!stored.ok())
         return stored.status();
     try {
-        if (!stored->at("phase").is_string())
-            return makeError(ErrorKind::Internal,
-                             "progress of job " + m_spec.id + ": phase is not a string");
-        m_phase = stored->at("phase").get<JobPhase>();
-        m_cancelled = m_phase == JobPhase::Cancelled;
-        if (!stored->contains("tasks"))
-            return absl::OkStatus();
-        for (const auto &[number, steps] : stored->at("tasks").items()) {
+        const auto phase = stored->at("phase").get<JobPhase>();
+        std::map<int, Occurrence> occurrences;
+        const auto tasks = stored->find("tasks");
+        const Json none = Json::object();
+        for (const auto &[number, steps] : (tasks == stored->end() ? none : *tasks).items()) {
             Occurrence occurrence = emptyOccurrence(m_spec);
             for (std::size_t step = 0; step < occurrence.size(); ++step) {
                 for (std::size_t index = 0; index < occurrence[step].size(); ++index)
                     occurrence[step][index] = taskFromJson(steps.at(step).at(index));
             }
-            m_occurrences[std::stoi(number)] = std::move(occurrence);
+            const int key = std::stoi(number);
+            if (key < 0 || key >= std::max(m_spec.occurrences, 1))
+                return makeError(ErrorKind::Internal,
+                                 "progress of job " + m_spec.id + ": no occurrence " + number);
+            occurrences[key] = std::move(occurrence);
         }
+        m_phase = phase;
+        m_cancelled = m_phase == JobPhase::Cancelled;
+        if (tasks == stored->end())
+            return absl::OkStatus();
+        for (auto &[key, occurrence] : occurrences)
+            m_occurrences[key] = std::move(occurrence);
     } catch (const std::exception &error) {
         return makeError(ErrorKind::Internal, "progress of job " + m_spec.id + ": " + error.what());
     }
--- a/src/libdispatch/job_objective.cpp
+++ b/src/libdispatch/job_objective.cpp
@@ -26,7 +26,8 @@
     if (queue.objectiveMs <= 0 || longRunning || job.occurrences > 0)
         return std::nullopt;
     const auto path = static_cast<double>(criticalPath(job).count());
-    return Milliseconds(queue.objectiveMs + static_cast<std::int64_t>(queue.stretch * path));
+    const double stretched = std::min(queue.stretch * path, static_cast<double>(maxExactInteger));
+    return Milliseconds(queue.objectiveMs + static_cast<std::int64_t>(stretched));
 }
 
 } // namespace lavenderarch
--- a/src/libdispatch/job_spec.cpp
+++ b/src/libdispatch/job_spec.cpp
@@ -1,13 +1,17 @@
 // Validation of job specifications.
 #include "lavenderarch/dispatch/job_spec.h"
 
-#include <cmath>
-
 namespace lavenderarch {
 namespace {
 
 /// Limit on the tasks of one job, so that its progress fits into one row of the store (64 KiB).
 constexpr int maxTasksPerJob = 600;
+constexpr int maxOccurrences = 1'000'000;
+
+bool isDuration(std::int64_t milliseconds)
+{
+    return milliseconds >= 0 && milliseconds <= maxDurationMs;
+}
 
 Status fieldError(std::size_t step, const std::string &text)
 {
@@ -16,10 +20,16 @@
 
 Status validateStep(const StepSpec &step, std::size_t number)
 {
-    if (step.count < 1)
-        return fieldError(number, "count must be at least 1");
-    if (!step.demand.isValid())
-        return fieldError(number, "demand must not be negative");
+    if (step.count < 1 || step.count > maxTasksPerJob)
+        return fieldError(number, "count must be from 1 to " + std::to_string(maxTasksPerJob));
+    if (!step.demand.isWithin(maxResourceAmount))
+        return fieldError(number, "demand is out of range");
+    if (!isDuration(step.estimateMs))
+        return fieldError(number, "estimateMs is out of range");
+    if (!isDuration(step.tailTargetMs))
+        return fieldError(number, "tailTargetMs is out of range");
+    if (step.maxPerMinion < 0 || step.maxUnavailable < 0)
+        return fieldError(number, "limits must not be negative");
     for (const int before : step.after) {
         if (before < 0 || before >= static_cast<int>(number))
             return fieldError(number, "after must name earlier steps");
@@ -31,6 +41,16 @@
 
 Status validateJob(const JobSpec &job)
 {
+    const auto invalid = [](const std::string &text) {
+        return makeError(ErrorKind::InvalidRequest, text);
+    };
+    // With these limits the time of the last occurrence fits into 64 bits.
+    if (job.occurrences < 0 || job.occurrences > maxOccurrences)
+        return invalid("occurrences must be from 0 to " + std::to_string(maxOccurrences));
+    if (job.firstDueMs < -maxExactInteger || job.firstDueMs > maxExactInteger)
+        return invalid("firstDueMs is out of range");
+    if (!isDuration(job.intervalMs))
+        return invalid("intervalMs is out of range");
     if (job.steps.empty())
         return makeError(ErrorKind::InvalidRequest, "steps must not be empty");
     int tasks = 0;
--- a/src/libdispatch/request_reader.cpp
+++ b/src/libdispatch/request_reader.cpp
@@ -23,8 +23,12 @@
 std::optional<ExchangeRequest> RequestReader::read(std::string_view text)
 {
     RequestReader reader;
-    if (!Json::sax_parse(text, &reader))
+    try {
+        if (!Json::sax_parse(text, &reader))
+            return std::nullopt;
+    } catch (const Json::exception &) { // an unknown outcome
         return std::nullopt;
+    }
     return std::move(reader.m_request);
 }
 
@@ -131,12 +135,14 @@
 
 bool RequestReader::number_unsigned(std::uint64_t value)
 {
-    return number_integer(static_cast<std::int64_t>(value));
+    return value <= static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max()) &&
+           number_integer(static_cast<std::int64_t>(value));
 }
 
 bool RequestReader::number_integer(std::int64_t value)
 {
     using Number = Member<std::int64_t>;
+    const int number = static_cast<int>(value);
     switch (part()) {
     case Part::Request:
         return assign(m_key, value, Number{"number", m_request.number},
@@ -155,15 +161,16 @@
         return assign(m_key, value, Number{"number", m_request.ends.back().number});
     case Part::EndRun:
         ++m_values;
-        return assign(m_key, static_cast<int>(value),
-                      Member<int>{"number", m_request.ends.back().run.number});
+        return number == value &&
+               assign(m_key, number, Member<int>{"number", m_request.ends.back().run.number});
     case Part::Run:
         break;
     default:
         return false;
     }
+    if (number != value)
+        return false;
     RunReport &run = m_request.runs.back();
-    const int number = static_cast<int>(value);
     switch (m_values++) {
     case 1:
         run.run.number = number;
--- a/src/libdispatch/run_ledger.cpp
+++ b/src/libdispatch/run_ledger.cpp
@@ -65,9 +65,16 @@
     m_facts = facts;
     m_factsSequence = sequence;
     m_registered = true;
+    m_left = false;
     return true;
 }
 
+void RunLedger::forgetFactsSequence()
+{
+    if (!m_left)
+        m_factsSequence = 0;
+}
+
 void RunLedger::minionLeft(const std::string &id)
 {
     if (id != m_facts.incarnation.id)
@@ -75,6 +82,7 @@
     for (const auto &[run, local] : m_runs)
         addAbsent(run, "the minion left");
     m_runs.clear();
+    m_left = true;
     m_facts.draining = true;
     m_unreportedChanges = true;
     m_snapshotDue = true;
@@ -194,7 +202,7 @@
             m_unreportedChanges =
                 m_ends.emplace(end.number, UnconfirmedEnd{end, 0}).second || m_unreportedChanges;
     }
-    for (auto entry = m_runs.begin(); entry != m_runs.end();) {
+    for (auto entry = m_runs.begin(); listing.unreadableRows == 0 && entry != m_runs.end();) {
         LocalRun &run = entry->second;
         const bool stopped = run.stopConfirmed && *run.stopConfirmed < sentAt;
         const bool missing =
--- a/src/libdispatch/tail_model.cpp
+++ b/src/libdispatch/tail_model.cpp
@@ -51,7 +51,7 @@
 
 void TailModel::setWeight(const TailWeight &weight)
 {
-    m_weights[{weight.bestEffort, weight.serving}] = {weight.weight, 0};
+    m_weights[{weight.bestEffort, weight.serving}] = {std::clamp(weight.weight, 0.0, maxWeight), 0};
 }
 
 TailModel::Weight &TailModel::findOrCreate(const std::string &bestEffort,
@@ -128,7 +128,8 @@
         std::map<ImagePair, Weight, PairLess> weights;
         for (const Json &pair : stored->at("weights"))
             weights[{pair.at(0).get<std::string>(), pair.at(1).get<std::string>()}] = {
-                pair.at(2).get<double>() / 1000, pair.at(3).get<double>() / 1000};
+                std::clamp(pair.at(2).get<double>() / 1000, 0.0, maxWeight),
+                std::clamp(pair.at(3).get<double>() / 1000, 0.0, priorVariance)};
         m_weights = std::move(weights);
     } catch (const Json::exception &) {
         return false;
