A check-in of another incarnation counts only once the minion confirms it

Callers saw: an agent stopped following its minion after one well-formed check-in of another writer with a birth in the future: each true check-in was older and ignored, for ever, and the agent's calls named an incarnation that does not exist.

Cause: the agent took the newest birth for the truth. Ruled out as a fix: a bound on the birth by the agent's time of day, as clocks differ by seconds here and a birth within the bound is enough.

Now a check-in of an incarnation that is not registered is kept until the minion's own listing, in reply to a call that names its id, shows the same birth (or none, of minions that do not report it). The renewals of the registered incarnation go on meanwhile.

--- a/src/include/lavenderarch/runtime/agent_loop.h
+++ b/src/include/lavenderarch/runtime/agent_loop.h
@@ -2,12 +2,15 @@
 #pragma once
 
 #include "lavenderarch/dispatch/cell_tables.h"
+#include "lavenderarch/dispatch/minion_registration.h"
 #include "lavenderarch/dispatch/owner_record.h"
 #include "lavenderarch/dispatch/pace_controller.h"
 #include "lavenderarch/dispatch/run_ledger.h"
+#include "lavenderarch/runtime/agent_times.h"
 #include "lavenderarch/runtime/exchange_channel.h"
 #include "lavenderarch/runtime/minion_control.h"
 #include "lavenderarch/storage/row_store.h"
+#include "lavenderarch/telemetry/invalid_entries.h"
 #include "lavenderarch/telemetry/log.h"
 #include "lavenderarch/telemetry/metrics.h"
 
@@ -18,34 +21,6 @@
 
 namespace lavenderarch {
 
-/// Longest time for which the owner holds a poll open. A lease is renewed at least this often.
-inline constexpr std::int64_t pollWaitMs = 900;
-/// Time beyond pollWaitMs in which the owner's reply must arrive.
-inline constexpr Milliseconds pollSlack{900};
-/// Timeout of a message that the owner answers at once.
-inline constexpr Milliseconds reportTimeout{900};
-/// Delay after a failed message before the owner is looked up again.
-inline constexpr Milliseconds lookupPause{200};
-/// Timeout of one read of the owner row.
-inline constexpr Milliseconds lookupTimeout{700};
-/// Longest time for which the minion holds a renewal open while no run ends. Its load figures
-/// cover half a second.
-inline constexpr std::int64_t renewWaitMs = 400;
-/// Time beyond renewWaitMs in which the minion's answer must arrive.
-inline constexpr Milliseconds renewSlack{800};
-inline constexpr Milliseconds renewRetryPause{120};
-/// Longest wait for the owner to confirm ended runs before the minion is polled again.
-inline constexpr Milliseconds confirmationWait{150};
-/// Time between two pace decisions. Load changes within seconds; one figure covers half a second.
-inline constexpr Milliseconds paceInterval{250};
-/// Timeout of one attempt of an order to the minion, which runs on the same VM.
-inline constexpr Milliseconds orderAttemptTimeout{400};
-inline constexpr Milliseconds orderRetryPause{60};
-/// A run whose start is still unanswered after this time is stopped instead.
-inline constexpr Milliseconds startTimeout{3000};
-/// Number of orders sent to the minion concurrently.
-inline constexpr int orderThreads = 4;
-
 /// Runs the agent's threads from construction to destruction. Does not own the store, the minion,
 /// the channel or the metrics, which must outlive it. Thread-safe: m_mutex is the only lock, and no
 /// call to the store, the minion or the owner is made while it is held.
@@ -60,6 +35,8 @@
         , m_channel(channel)
         , m_metrics(metrics)
         , m_cell(std::move(cell))
+        , m_invalidCheckIns(metrics, "unconfirmed check-in")
+        , m_invalidRows(metrics, "listing")
         , m_ledger(std::move(agent), std::move(session))
     {
         m_threads.emplace_back([this](const std::stop_token &stop) { poll(stop); });
@@ -79,21 +56,16 @@
     AgentLoop(const AgentLoop &) = delete;
     AgentLoop &operator=(const AgentLoop &) = delete;
 
-    /// Handles a minion's check-in. False when it is of an older incarnation or sequence.
-    bool checkIn(const MinionFacts &facts, std::int64_t sequence)
+    /// Handles a check-in. One of another incarnation takes effect once the minion confirms it.
+    void checkIn(const MinionFacts &facts, std::int64_t sequence)
     {
         const std::scoped_lock lock(m_mutex);
-        const MinionFacts previous = m_ledger.facts();
-        const bool updated = m_ledger.updateFacts(facts, sequence);
-        if (updated &&
-            (previous.incarnation != facts.incarnation || previous.draining != facts.draining))
-            logEvent(LogLevel::Info, "agent", "minion registered",
-                     {{"minion", facts.incarnation.id},
-                      {"bornMs", std::to_string(facts.incarnation.bornMs)},
-                      {"draining", facts.draining ? "yes" : "no"},
-                      {"sequence", std::to_string(sequence)}});
-        m_reportNeeded.notify_one();
-        return updated;
+        const BootTime now = BootClock::now();
+        const MinionIncarnation &current = m_ledger.facts().incarnation;
+        if (m_ledger.registered() && current == facts.incarnation)
+            updateFacts(facts, sequence, now);
+        else if (!m_ledger.registered() || facts.incarnation.bornMs >= current.bornMs)
+            m_registration.offer(facts, sequence, now);
     }
 
     /// Handles the deregistration of the minion `id`.
@@ -108,6 +80,55 @@
 private:
     using Lease = RunLedger::Lease;
 
+    /// Requires m_mutex.
+    void updateFacts(const MinionFacts &facts, std::int64_t sequence, BootTime now)
+    {
+        const MinionFacts previous = m_ledger.facts();
+        bool updated = m_ledger.updateFacts(facts, sequence);
+        if (!updated && now - m_factsAt > factsSilence) {
+            m_ledger.forgetFactsSequence();
+            updated = m_ledger.updateFacts(facts, sequence);
+        }
+        if (updated)
+            m_factsAt = now;
+        if (updated &&
+            (previous.incarnation != facts.incarnation || previous.draining != facts.draining))
+            logEvent(LogLevel::Info, "agent", "minion registered",
+                     {{"minion", facts.incarnation.id},
+                      {"bornMs", std::to_string(facts.incarnation.bornMs)},
+                      {"draining", facts.draining ? "yes" : "no"},
+                      {"sequence", std::to_string(sequence)}});
+        m_reportNeeded.notify_one();
+    }
+
+    /// Asks the minion which of the incarnations that have checked in it is.
+    void confirmRegistration()
+    {
+        std::vector<MinionIncarnation> unconfirmed;
+        std::int64_t epoch = 0;
+        {
+            const std::scoped_lock lock(m_mutex);
+            unconfirmed = m_registration.unconfirmed(BootClock::now());
+            epoch = m_ledger.epoch();
+        }
+        for (const MinionIncarnation &incarnation : unconfirmed) {
+            const auto listing = m_minion.renew({incarnation, epoch}, std::nullopt, 0, 0,
+                                                BootClock::now() + orderAttemptTimeout);
+            const std::scoped_lock lock(m_mutex);
+            const auto confirmed =
+                listing.ok() ? m_registration.confirm(incarnation, *listing) : std::nullopt;
+            if (confirmed)
+                updateFacts(confirmed->facts, confirmed->sequence, BootClock::now());
+            else if (listing.ok() || kindOf(listing.status()) == ErrorKind::StaleCommand)
+                m_invalidCheckIns.add(
+                    listing.ok()
+                        ? makeError(ErrorKind::StaleCommand,
+                                    "the minion was born at " + std::to_string(listing->bornMs))
+                        : listing.status(),
+                    incarnation.id + " born at " + std::to_string(incarnation.bornMs));
+        }
+    }
+
     void poll(const std::stop_token &stop)
     {
         while (!stop.stop_requested()) {
@@ -198,6 +219,7 @@
     void renew(const std::stop_token &stop)
     {
         while (!stop.stop_requested()) {
+            confirmRegistration();
             ControlContext context;
             std::optional<Lease> lease;
             std::int64_t endsSeen = 0;
@@ -223,7 +245,7 @@
             handleListing(context, listing, sentAt);
             if (!listing.ok())
                 std::this_thread::sleep_for(renewRetryPause);
-            else if (!listing->ends.empty())
+            else if (!listing->ends.empty() || listing->unreadableRows > 0)
                 awaitConfirmation(stop, endsSeen);
         }
     }
@@ -248,6 +270,11 @@
                 return;
             const bool reachable = m_ledger.reachable();
             if (listing.ok()) {
+                if (listing->unreadableRows > 0)
+                    m_invalidRows.add(makeError(ErrorKind::CorruptedAnswer,
+                                                "rows that name no run: " +
+                                                    std::to_string(listing->unreadableRows)),
+                                      context.incarnation.id);
                 m_ledger.applyListing(*listing, context.epoch, sentAt, BootClock::now());
                 if (BootClock::now() >= m_nextPace) {
                     paces = decidePaces(m_ledger, BootClock::now());
@@ -432,12 +459,16 @@
     std::condition_variable m_reportNeeded; // wakes the report thread
     std::condition_variable m_ordersAdded;  // wakes the order threads
     std::condition_variable m_confirmed;    // wakes the renewal thread
-    RunLedger m_ledger;                     // guarded by m_mutex
-    BootTime m_nextPace{};                  // used by the renewal thread only
-    std::deque<RunOrder> m_orders;          // guarded by m_mutex
-    std::optional<Address> m_owner;         // guarded by m_mutex
-    bool m_connected = false;               // guarded by m_mutex
-    std::vector<std::jthread> m_threads;    // declared last, so joined first
+    InvalidEntries m_invalidCheckIns;
+    InvalidEntries m_invalidRows;
+    MinionRegistration m_registration;   // guarded by m_mutex
+    RunLedger m_ledger;                  // guarded by m_mutex
+    BootTime m_factsAt{};                // of the newest check-in in m_ledger; guarded by m_mutex
+    BootTime m_nextPace{};               // used by the renewal thread only
+    std::deque<RunOrder> m_orders;       // guarded by m_mutex
+    std::optional<Address> m_owner;      // guarded by m_mutex
+    bool m_connected = false;            // guarded by m_mutex
+    std::vector<std::jthread> m_threads; // declared last, so joined first
 };
 
 } // namespace lavenderarch
