--- a/src/include/lavenderarch/dispatch/minion_listing.h
+++ b/src/include/lavenderarch/dispatch/minion_listing.h
@@ -25,8 +25,11 @@
     std::int64_t bornMs = 0;  ///< incarnation that answered; 0 if the minion does not report it
     std::vector<Active> active;
     std::vector<RunEnd> ends; ///< the oldest that are not confirmed, by number
-    /// `ends` has all of them. Otherwise a run that is in neither list may have ended as well.
+    /// Both lists are whole: no rows were left out, and there are no further ends. Otherwise a run
+    /// that is in neither list may be active or have ended.
     bool complete = true;
+    /// Rows left out since they name no run.
+    std::size_t unreadableRows = 0;
 
     friend bool operator==(const MinionListing &, const MinionListing &) = default;
 };
--- a/src/include/lavenderarch/dispatch/run_ledger.h
+++ b/src/include/lavenderarch/dispatch/run_ledger.h
@@ -66,6 +66,9 @@
     /// the old one. Returns false and ignores facts of an older incarnation, or of the same
     /// one unless `sequence` is newer.
     bool updateFacts(const MinionFacts &facts, std::int64_t sequence);
+    /// The next facts of the current incarnation count, whatever their sequence; not of a minion
+    /// that has left, as only a late check-in can follow.
+    void forgetFactsSequence();
     /// The minion `id` has deregistered. Its runs end as Absent once it accepts no connection: it
     /// may run on for a while, its last ends may be on their way, and the message may be late.
     void minionLeft(const std::string &id);
--- a/src/libdispatch/run_ledger.cpp
+++ b/src/libdispatch/run_ledger.cpp
@@ -74,6 +74,12 @@
     return true;
 }
 
+void RunLedger::forgetFactsSequence()
+{
+    if (!m_deregistered)
+        m_factsSequence = 0;
+}
+
 void RunLedger::minionLeft(const std::string &id)
 {
     if (id != m_facts.incarnation.id)
