A task whose lapsed run turns out to be done is not placed again

What callers saw: a start after the task had ended as done, and its end was acknowledged (by the rule's words only if the lease did not lapse in between; the work was done twice in any case).

Cause: the end of a run that the owner had given up changed nothing and was acknowledged, also when the task still waited for its next placement.

Evidence, before: the first new test of lease_grant_test.cpp fails (the task waits and is placed again).

Fix: while the task waits, its end as done is taken as such and stored before it is acknowledged.

--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -233,7 +233,16 @@
         roomGained(view);
     if (job != nullptr && end.number > 0)
         begin(*job, now);
-    if (!current) {
+    // A run that was given up has ended as done after all, before the task was placed again.
+    const bool lateDone = !current && task != nullptr && task->phase == TaskPhase::Waiting &&
+                          task->run >= end.run.number && end.outcome == RunOutcome::Done &&
+                          !stepOf(*job, end.run).longRunning && !isFinal(job->phase());
+    if (lateDone)
+        recordEvent("a run that was given up had ended as done",
+                    {{"task", end.run.task},
+                     {"run", std::to_string(end.run.number)},
+                     {"agent", view.agent}});
+    if (!current && !lateDone) {
         // The end changes nothing: it was processed before, or the run was already given up. If the
         // job still has unstored changes, they may include this end, so the confirmation waits for
         // the commit.
--- a/src/libdispatch/lease_grant_test.cpp
+++ b/src/libdispatch/lease_grant_test.cpp
@@ -130,3 +130,41 @@
     CHECK(second.orders[0].kind == OrderKind::Stop);
     CHECK(second.orders[0].sequence > first.orders[0].sequence);
 }
+
+// Guards against a start after the end `done` of an earlier run of the task, which the owner has
+// given up, and which it acknowledges.
+TEST_CASE("a task whose lapsed run turns out to be done is not placed again")
+{
+    OneMinion cell;
+    cell.send(start);
+    cell.place("a", start);
+    cell.request.orderSeen = cell.owner.reply(cell.request, start, true).orders.at(0).sequence;
+    cell.owner.tick(after(5500), 0);
+    REQUIRE(cell.phase() == TaskPhase::Waiting);
+    cell.request.ends.push_back({1, run, RunOutcome::Done, "", ""});
+    cell.send(after(5600));
+    CHECK(cell.phase() == TaskPhase::Done);
+    // The end is acknowledged once it is stored.
+    CHECK(cell.owner.reply(cell.request, after(5600), true).endsSeen == 0);
+    REQUIRE(cell.owner.prepareCommit(after(5600)));
+    cell.owner.commitApplied(after(5620));
+    CHECK(cell.owner.reply(cell.request, after(5630), true).endsSeen == 1);
+    CHECK(cell.owner.reply(cell.request, after(5630), true).orders.empty());
+}
+
+// A run of a task that has been placed again does not end it: the newer run is active.
+TEST_CASE("a late end does not change a task that has been placed again")
+{
+    OneMinion cell;
+    cell.send(start);
+    cell.place("a", start);
+    cell.request.orderSeen = cell.owner.reply(cell.request, start, true).orders.at(0).sequence;
+    cell.owner.tick(after(5500), 0);
+    cell.send(after(5600));
+    REQUIRE(cell.owner.prepareCommit(after(5600)));
+    cell.owner.commitApplied(after(5620));
+    REQUIRE(cell.phase() == TaskPhase::Placed);
+    cell.request.ends.push_back({1, run, RunOutcome::Failed, "", ""});
+    cell.send(after(5700));
+    CHECK(cell.phase() == TaskPhase::Placed);
+}
