Simulation: all faults of sessions and messages together

A cell with crashing owners, restarting agents, silent minions, and late or lost messages, replies and orders; all faults but restarts of minions.

--- a/src/libdispatch/session_lease_test.cpp
+++ b/src/libdispatch/session_lease_test.cpp
@@ -87,6 +87,34 @@
     CHECK(ledger.runs().count(run) == 1);
 }
 
+// All faults but restarts of minions.
+TEST_CASE("jobs complete while sessions change and messages, answers and orders are late or lost")
+{
+    const auto [first, last] = lavenderarch::testing::seedRange();
+    for (std::uint64_t seed = first; seed <= last; ++seed) {
+        CAPTURE(seed);
+        SimulatedCell cell(seed, 5,
+                           {.ownerCrash = 300,
+                            .agentRestart = 200,
+                            .agentPartition = 400,
+                            .silentMinion = 150,
+                            .delayedOrder = 15,
+                            .lostCommit = 8,
+                            .lateReply = 20,
+                            .lostMessage = 10,
+                            .lateMessage = 10});
+        for (int job = 0; job < 12; ++job) {
+            cell.submit(fourTasks("job" + std::to_string(job)));
+            cell.advance(Milliseconds(1500));
+        }
+        cell.setFaults({});
+        cell.advance(Milliseconds(40'000));
+        for (int job = 0; job < 12; ++job)
+            CHECK(cell.phase("job" + std::to_string(job)) == JobPhase::Done);
+        CHECK(cell.activeRuns() == 0);
+    }
+}
+
 // Guards against the same failure in a whole cell: agents that restart while their minion does not
 // answer, without an owner that grants a lease at once.
 TEST_CASE("jobs complete while agents restart and their minions are silent")
--- a/src/libdispatch/simulated_agent.h
+++ b/src/libdispatch/simulated_agent.h
@@ -43,6 +43,7 @@
         ledger = std::make_unique<RunLedger>(name, "s" + std::to_string(session),
                                              RunLedger::latestLeaseEnd(now, now + longestLease));
         orders.clear();
+        lateReply.reset(); // its connection ended with the former process
     }
 };
 
