Agents guard their minion's capacity and wait while another incarnation answers

A minion that restarts under its id as a smaller kind answers renewals at once, naming its time of birth; the agent ignored such a listing, still counted the minion as reachable until the next check-in (up to 1.1 s) and went on sending the starts of the former incarnation.

Now: - A listing of another incarnation means that the registered one does not answer any more. - RunLedger::decideStart() decides just before a start is sent: the demands of all runs that are listed, sent without an answer or being stopped, plus the new one, must fit into the capacity of the registered incarnation. Nothing is sent while that does not answer. - Orders state memory and accelerators besides the processors. An older agent ignores the fields; an older owner's orders, without them, are followed as before, and the next owner describes the runs. The owner leaves the minion out for 500 ms, so that they do not place and refuse a run in a loop; the same after a minion's own refusal for room. - Log line 'start withheld from the minion' with capacity, sum, demand, run and incarnation, the same figures in 'start sent to the minion', counter lavender_starts_withheld_total.

Failed try: a stop of a run whose end was on its way to the owner counted as a run that may still start.

--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -128,6 +128,9 @@
     void stageEnd(const std::string &job, const MinionView &view, const RunEnd &end);
     void processBrief(MinionView &view, const ExchangeRequest &request, BootTime now);
     void processReport(MinionView &view, const RunReport &report, BootTime now);
+    void processUnexpected(MinionView &view, const RunReport &report, BootTime now);
+    void reserveUnexpected(MinionView &view, const RunKey &run);
+    void describe(MinionView &view, const RunKey &run);
     void processRuns(MinionView &view, const ExchangeRequest &request, BootTime now);
     void updateTailModel(MinionView &view, const ExchangeRequest &request, BootTime now);
     void moveSlowedRuns(MinionView &view, BootTime now);
--- a/src/include/lavenderarch/dispatch/minion_view.h
+++ b/src/include/lavenderarch/dispatch/minion_view.h
@@ -30,10 +30,11 @@
     std::int64_t snapshot = 0; ///< newest snapshot of this session and minion; 0: none applied
     bool snapshotDue = false;  ///< the next reply asks for a snapshot
     std::int64_t nextOrder = 1;
-    std::deque<RunOrder> outbox;                ///< orders that the agent has not confirmed
-    std::set<RunKey> runs;                      ///< runs of Placed and Stopping tasks on the minion
-    std::map<RunKey, Resources> unexpectedRuns; ///< reported runs not in `runs`, with their demand
-    std::set<RunKey> unexpectedStopped;         ///< unexpected runs for which a stop was ordered
+    std::deque<RunOrder> outbox; ///< orders that the agent has not confirmed
+    std::set<RunKey> runs;       ///< runs of Placed and Stopping tasks on the minion
+    /// Reported runs not in `runs`, with what they reserve.
+    std::map<RunKey, Resources> unexpectedRuns;
+    std::set<RunKey> unexpectedStopped; ///< unexpected runs for which a stop was ordered
 
     std::int64_t endsSeen = 0;         ///< all ends up to this number are stored
     std::map<std::int64_t, bool> ends; ///< ends above endsSeen: whether they are stored
@@ -54,6 +55,9 @@
     BootTime nextSlowCheck{};        ///< no slowed run is to be moved before this time
     bool weightsDue = false;         ///< the next reply carries weights of the tail model
 
+    /// The minion gets no run until then, as a start was refused there for want of room; unset:
+    /// none was.
+    BootTime noRoomUntil{};
     std::map<std::string, BootTime> failedJobs; ///< time of the last recent failure here, by job
     BootTime avoidUntil{};                      ///< placement prefers other minions until then
     std::int64_t avoidMs = 0; ///< length of the newest such period; 0 after a success
--- a/src/include/lavenderarch/dispatch/run_end.h
+++ b/src/include/lavenderarch/dispatch/run_end.h
@@ -18,6 +18,9 @@
     Absent
 };
 
+/// Reason of an Absent end: the run might not have fitted into the minion's capacity.
+inline constexpr const char *noRoomReason = "no room on the minion";
+
 NLOHMANN_JSON_SERIALIZE_ENUM(RunOutcome, {{RunOutcome::Done, "done"},
                                           {RunOutcome::Failed, "failed"},
                                           {RunOutcome::Stopped, "stopped"},
--- a/src/include/lavenderarch/dispatch/run_ledger.h
+++ b/src/include/lavenderarch/dispatch/run_ledger.h
@@ -5,6 +5,7 @@
 #include "lavenderarch/dispatch/exchange_reply.h"
 #include "lavenderarch/dispatch/exchange_request.h"
 #include "lavenderarch/dispatch/minion_listing.h"
+#include "lavenderarch/dispatch/start_decision.h"
 #include "lavenderarch/dispatch/tail_model.h"
 
 #include <map>
@@ -29,9 +30,12 @@
         BootTime startBy = BootTime::max();    ///< the start is not sent from then on
         std::optional<BootTime> stopConfirmed; ///< time of the first answer to a stop
         bool stopRequested = false;
-        bool listed = false;     ///< the minion has listed the run
-        bool reported = false;   ///< a message has carried the current phase
-        bool described = true;   ///< the fields of describe() are known
+        bool listed = false;   ///< the minion has listed the run
+        bool reported = false; ///< a message has carried the current phase
+        bool described = true; ///< the fields of describe() are known
+        bool onMinion = false; ///< listed, or a start that may take effect has been sent
+        /// Resources that the run reserves; unset: the owner has not stated them.
+        std::optional<Resources> demand;
         bool bestEffort = false; ///< best-effort
         std::int64_t tailTargetMs = 0;
         std::string image;
@@ -77,6 +81,8 @@
     /// Records a lease that is about to be sent and so may reach the minion.
     void renewalSent(const Lease &lease);
 
+    /// Decides whether to send the start of a run now. The run may be on the minion from then on.
+    StartDecision decideStart(const RunKey &run);
     void startConfirmed(const RunKey &run, BootTime now);
     void startRefused(const RunKey &run, const std::string &reason);
     void stopConfirmed(const RunKey &run, BootTime now);
@@ -123,6 +129,7 @@
 
     void resetIncarnation();
     void updateHeadroom(BootTime now);
+    bool hasUnconfirmedEnd(const RunKey &run) const;
     void addAbsent(const RunKey &run, const std::string &reason);
     ExchangeRequest beginMessage(std::int64_t waitMs);
     void appendEnds(ExchangeRequest &request) const;
--- a/src/include/lavenderarch/dispatch/run_order.h
+++ b/src/include/lavenderarch/dispatch/run_order.h
@@ -1,8 +1,11 @@
 // An order from the owner of a cell to an agent.
 #pragma once
 
+#include "lavenderarch/core/resources.h"
 #include "lavenderarch/dispatch/run_key.h"
 
+#include <optional>
+
 namespace lavenderarch {
 
 enum class OrderKind {
@@ -28,10 +31,20 @@
     std::int64_t tailTargetMs = 0; ///< of a serving run; 0: none
     std::string image;             ///< image of the task
     std::int64_t milliCores = 0;   ///< thousandths of a core that the task uses at full pace
+    std::int64_t memoryMib = -1;   ///< negative: an owner of an earlier version does not state it
+    std::int64_t accelerators = 0; ///< stated along with memoryMib
     /// Time in which the run may start, from the sending of the request that this order answers;
     /// negative: no limit.
     std::int64_t startWithinMs = -1;
 
+    /// Resources that the run reserves on the minion; best-effort runs reserve no processors.
+    std::optional<Resources> reserved() const
+    {
+        if (memoryMib < 0)
+            return std::nullopt;
+        return Resources(bestEffort ? 0 : milliCores, memoryMib, accelerators);
+    }
+
     friend bool operator==(const RunOrder &, const RunOrder &) = default;
 };
 
--- a/src/include/lavenderarch/runtime/agent_loop.h
+++ b/src/include/lavenderarch/runtime/agent_loop.h
@@ -43,6 +43,8 @@
 inline constexpr Milliseconds orderRetryPause{60};
 /// A run whose start is still unanswered after this time is stopped instead.
 inline constexpr Milliseconds startTimeout{3000};
+/// A start that has not been sent is refused if the minion does not answer for this time.
+inline constexpr Milliseconds unreachableWait{500};
 /// Number of orders sent to the minion concurrently.
 inline constexpr int orderThreads = 4;
 
@@ -107,6 +109,7 @@
 
 private:
     using Lease = RunLedger::Lease;
+    using Verdict = StartDecision::Verdict;
 
     void poll(const std::stop_token &stop)
     {
@@ -316,6 +319,7 @@
             ControlContext context;
             std::optional<Lease> lease;
             BootTime startBy{};
+            StartDecision decision;
             {
                 const std::scoped_lock lock(m_mutex);
                 if (!m_ledger.shouldRun(order.run))
@@ -325,15 +329,26 @@
                 if (!m_ledger.facts().draining)
                     lease = m_ledger.lease(BootClock::now());
                 if (lease)
+                    decision = m_ledger.decideStart(order.run);
+                if (decision.verdict == Verdict::Send)
                     m_ledger.renewalSent(*lease);
             }
             const BootTime now = BootClock::now();
             const bool late = now >= std::min(began + startTimeout, startBy);
             MinionAnswer answer;
-            if (lease && !late) {
+            if (lease && !late && decision.verdict != Verdict::Send) {
+                const bool waits = decision.verdict == Verdict::Wait &&
+                                   (mayHaveStarted || now < began + unreachableWait);
+                if (waits) {
+                    std::this_thread::sleep_for(orderRetryPause);
+                    continue;
+                }
+                logWithheld(order.run, decision);
+                answer = {OrderAnswer::Refused, decision.reason, 0};
+            } else if (lease && !late) {
                 answer = m_minion.start(context, order, *lease,
                                         std::min(now + orderAttemptTimeout, startBy));
-                logStart(order.run, answer, began, startBy);
+                logStart(order.run, answer, began, startBy, decision);
             } else {
                 answer = {OrderAnswer::Refused, late ? "not started in time" : "no lease", 0};
             }
@@ -407,7 +422,25 @@
         }
     }
 
-    void logStart(const RunKey &run, const MinionAnswer &answer, BootTime began, BootTime startBy)
+    /// Logs a start that is not sent to the minion.
+    void logWithheld(const RunKey &run, const StartDecision &decision)
+    {
+        const bool noRoom = decision.verdict == Verdict::Refuse;
+        m_metrics.increment("lavender_starts_withheld_total",
+                            {{"reason", noRoom ? "room" : "unreachable"}});
+        logEvent(LogLevel::Warning, "agent", "start withheld from the minion",
+                 {{"task", run.task},
+                  {"run", std::to_string(run.number)},
+                  {"reason", decision.reason},
+                  {"minion", decision.incarnation.id},
+                  {"bornMs", std::to_string(decision.incarnation.bornMs)},
+                  {"capacity", decision.capacity.text()},
+                  {"committed", decision.committed.text()},
+                  {"demand", decision.demand.text()}});
+    }
+
+    void logStart(const RunKey &run, const MinionAnswer &answer, BootTime began, BootTime startBy,
+                  const StartDecision &decision)
     {
         const BootTime now = BootClock::now();
         m_metrics.increment("lavender_starts_total",
@@ -418,6 +451,9 @@
              {"run", std::to_string(run.number)},
              {"answer", std::string(answerName(answer.answer))},
              {"reason", answer.reason},
+             {"capacity", decision.capacity.text()},
+             {"committed", decision.committed.text()},
+             {"demand", decision.demand.text()},
              {"sinceOrderMs", std::to_string((now - began).count())},
              {"startTimeLeftMs",
               startBy == BootTime::max() ? "unlimited" : std::to_string((startBy - now).count())}});
--- a/src/libdispatch/capacity_test.cpp
+++ b/src/libdispatch/capacity_test.cpp
@@ -64,38 +64,54 @@
 }
 
 /// Runs more jobs than the cell has room for under `faults`. SimulatedCell checks each start.
-void runFull(const CellFaults &faults)
+/// Without `guard` the accounts of the owner are the only ones.
+void runFull(const CellFaults &faults, bool guard)
 {
     int starts = 0;
     int fullStarts = 0;
+    int refused = 0;
     const auto [first, last] = seedRange();
     for (std::uint64_t seed = first; seed <= last; ++seed) {
         CAPTURE(seed);
         SimulatedCell cell(seed, 5, faults);
         cell.mixKinds();
+        cell.guardStarts = guard;
         for (int job = 0; job < 40; ++job) {
             cell.submit(mixedJob(job));
             cell.advance(Milliseconds(300));
         }
         cell.advance(Milliseconds(8000));
         starts += cell.starts();
+        refused += cell.refusedStarts();
         fullStarts += cell.capacityCheck().fullStarts();
     }
-    // The load reaches the bound that is checked.
+    // The load reaches the bound that is checked, and owners hardly order what agents refuse.
     CHECK(fullStarts * 4 > starts);
+    CHECK(refused * 100 < starts);
 }
 
 } // namespace
 
 TEST_CASE("minions of a full cell get no more than they hold while stops take time")
 {
-    runFull(slowStops);
+    runFull(slowStops, false);
 }
 TEST_CASE("minions of a full cell get no more than they hold while owners and agents restart")
 {
-    runFull(allButRestarts);
+    runFull(allButRestarts, false);
 }
 TEST_CASE("minions of a full cell get no more than they hold while minions restart")
 {
-    runFull(withRestarts(0));
+    runFull(withRestarts(0), false);
+}
+// Starts that were ordered for a minion reached its next incarnation, of a smaller kind, before
+// that had registered.
+TEST_CASE("minions of a full cell get no more than they hold while they restart as another kind")
+{
+    runFull(withRestarts(1), true);
+}
+TEST_CASE("agents hardly refuse a start that the owner of a full cell has ordered")
+{
+    runFull(slowStops, true);
+    runFull(allButRestarts, true);
 }
--- a/src/libdispatch/cell_dispatcher.cpp
+++ b/src/libdispatch/cell_dispatcher.cpp
@@ -3,6 +3,7 @@
 
 #include "lavenderarch/dispatch/cell_tables.h"
 #include "lavenderarch/dispatch/queue_catalog.h"
+#include "placement.h"
 
 #include <algorithm>
 
@@ -403,9 +404,16 @@
 
 void CellDispatcher::sendStop(MinionView &view, const RunKey &run, std::int64_t &stopOrder)
 {
+    const auto [job, task] = locate(run.task);
     RunOrder order;
     order.kind = OrderKind::Stop;
     order.run = run;
+    if (task != nullptr) { // the agent may not know the run, and counts its demand until it ends
+        const Resources reserved = reservedDemand(stepOf(*job, run));
+        order.milliCores = reserved.milliCores();
+        order.memoryMib = reserved.memoryMib();
+        order.accelerators = reserved.accelerators();
+    }
     send(view, std::move(order), stopOrder);
 }
 
--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -15,8 +15,6 @@
 /// Time that a start needs from its placement: the commit, the agent's poll and the call of the
 /// minion.
 constexpr Milliseconds minStartTime{500};
-/// Pace in percent below which a best-effort run counts as slowed.
-constexpr int slowPacePercent = 40;
 /// A minion is suspect once this many jobs have failed on it. Each success in between removes the
 /// job with the oldest failure from the count.
 constexpr std::size_t suspectJobs = 2;
@@ -25,6 +23,9 @@
 /// Upper bound of the time for which a suspect minion is avoided. The time doubles on
 /// each renewed suspicion.
 constexpr std::int64_t maxAvoidMs = 12'000;
+/// Time for which a minion gets no run after a start was refused there for want of room: the agent
+/// knows of runs that this owner does not, and its next messages tell of them.
+constexpr Milliseconds noRoomPause{500};
 
 } // namespace
 
@@ -200,6 +201,7 @@
         view.failedJobs.clear();
         view.avoidUntil = {};
         view.avoidMs = 0;
+        view.noRoomUntil = {};
     }
     const bool changed = !view.registered || view.facts != request.facts;
     if (view.facts.draining != request.facts.draining)
@@ -277,6 +279,8 @@
         return;
     }
     recordOutcome(view, *job, end.outcome, now);
+    if (end.outcome == RunOutcome::Absent && end.reason == noRoomReason)
+        view.noRoomUntil = now + noRoomPause;
     const std::string id = job->spec().id;
     finishRun(*job, *task, end, now);
     stageEnd(id, view, end);
@@ -298,88 +302,6 @@
     }
 }
 
-void CellDispatcher::processRuns(MinionView &view, const ExchangeRequest &request, BootTime now)
-{
-    const auto unexpectedBefore = std::exchange(view.unexpectedRuns, {});
-    for (const RunReport &report : request.runs) {
-        const auto [job, task] = locate(report.run.task);
-        const bool known = view.runs.count(report.run) != 0;
-        if (!known) {
-            if (job != nullptr && !report.starting)
-                begin(*job, now);
-            if (task != nullptr)
-                view.unexpectedRuns[report.run] = reservedDemand(stepOf(*job, report.run));
-            if (view.unexpectedStopped.insert(report.run).second) {
-                recordEvent("stopping a run that is not expected on this minion",
-                            {{"task", report.run.task},
-                             {"run", std::to_string(report.run.number)},
-                             {"agent", view.agent}});
-                std::int64_t sequence = 0;
-                sendStop(view, report.run, sequence);
-            }
-            continue;
-        }
-        processReport(view, report, now);
-    }
-    if (view.unexpectedRuns != unexpectedBefore)
-        roomGained(view);
-    updateTailModel(view, request, now);
-    stopMissingRuns(view, request);
-    std::erase_if(view.unexpectedStopped, [&](const RunKey &run) {
-        return std::none_of(request.runs.begin(), request.runs.end(),
-                            [&](const RunReport &report) { return report.run == run; });
-    });
-}
-
-/// Processes the report of a run in `view.runs`.
-void CellDispatcher::processReport(MinionView &view, const RunReport &report, BootTime now)
-{
-    const auto [job, task] = locate(report.run.task);
-    if (!report.starting)
-        begin(*job, now);
-    // Stop orders of a previous session were discarded, so the stop is ordered again.
-    if (task->phase == TaskPhase::Stopping && task->stopOrder == 0)
-        sendStop(view, report.run, task->stopOrder);
-    if (report.progressPercent != task->progressPercent || report.pacePercent < 100) {
-        task->progressPercent = report.progressPercent;
-        task->progressAt = now;
-    }
-    task->pacePercent = report.pacePercent;
-    if (report.pacePercent >= slowPacePercent)
-        task->slowedAt = {};
-    else if (task->slowedAt == BootTime{})
-        task->slowedAt = now;
-    if (!report.checkpoint.empty())
-        task->checkpoint = report.checkpoint;
-    if (report.undescribed) {
-        const auto &step = stepOf(*job, report.run);
-        std::int64_t sequence = 0;
-        send(view, makeOrder(OrderKind::Describe, report.run, step), sequence);
-    }
-}
-
-void CellDispatcher::stopMissingRuns(MinionView &view, const ExchangeRequest &request)
-{
-    std::set<RunKey> reported;
-    for (const RunReport &report : request.runs)
-        reported.insert(report.run);
-    for (const RunEnd &end : request.ends)
-        reported.insert(end.run);
-    for (const RunKey &run : view.runs) {
-        const auto [job, task] = locate(run.task);
-        if (task == nullptr || reported.count(run) != 0 || task->startOrder < 0 ||
-            task->startOrder > request.orderSeen)
-            continue;
-        const bool stopPending = task->stopOrder > 0;
-        if (stopPending)
-            continue;
-        recordEvent(
-            "run is missing from the minion's report; stopping it",
-            {{"task", run.task}, {"run", std::to_string(run.number)}, {"agent", view.agent}});
-        stop(view, run, *task);
-    }
-}
-
 void CellDispatcher::endLapsedRuns(MinionView &view, const std::string &reason, BootTime now)
 {
     const auto runs = view.runs;
@@ -478,6 +400,10 @@
         }
         std::erase_if(view.failedJobs,
                       [&](const auto &entry) { return now - entry.second > failureWindow; });
+        if (view.noRoomUntil != BootTime{} && now >= view.noRoomUntil) {
+            view.noRoomUntil = {};
+            roomGained(view);
+        }
         if (!isFresh(view, now))
             continue;
         stopStalledRuns(view, now);
--- a/src/libdispatch/dispatch_json.cpp
+++ b/src/libdispatch/dispatch_json.cpp
@@ -59,6 +59,8 @@
     out["tailTargetMs"] = order.tailTargetMs;
     out["image"] = order.image;
     out["milliCores"] = order.milliCores;
+    out["memoryMib"] = order.memoryMib;
+    out["accelerators"] = order.accelerators;
     out["startWithinMs"] = order.startWithinMs;
 }
 
@@ -75,6 +77,8 @@
     order.tailTargetMs = in.value("tailTargetMs", defaults.tailTargetMs);
     order.image = in.value("image", defaults.image);
     order.milliCores = in.value("milliCores", defaults.milliCores);
+    order.memoryMib = in.value("memoryMib", defaults.memoryMib);
+    order.accelerators = in.value("accelerators", defaults.accelerators);
     order.startWithinMs = in.value("startWithinMs", defaults.startWithinMs);
 }
 
--- a/src/libdispatch/exchange_text.cpp
+++ b/src/libdispatch/exchange_text.cpp
@@ -66,12 +66,14 @@
 {
     static const RunOrder defaults;
     ObjectText text(out);
+    text.add("accelerators", order.accelerators, defaults.accelerators);
     text.add("checkpoint", order.checkpoint);
     if (order.bestEffort)
         text.member("fills") += "true";
     text.add("image", order.image);
     if (order.kind != defaults.kind)
         text.member("kind") += Json(order.kind).dump();
+    text.add("memoryMib", order.memoryMib, defaults.memoryMib);
     text.add("milliCores", order.milliCores, defaults.milliCores);
     text.add("payload", order.payload);
     appendRun(text.member("run"), order.run);
--- a/src/libdispatch/exchange_text_test.cpp
+++ b/src/libdispatch/exchange_text_test.cpp
@@ -33,6 +33,8 @@
     full.tailTargetMs = 18;
     full.image = "i";
     full.milliCores = 500;
+    full.memoryMib = 200;
+    full.accelerators = 1;
     full.startWithinMs = 0;
     ExchangeReply reply;
     reply.epoch = 4;
--- a/src/libdispatch/json_keys_test.cpp
+++ b/src/libdispatch/json_keys_test.cpp
@@ -67,12 +67,15 @@
     order.tailTargetMs = 18;
     order.image = "i";
     order.milliCores = 500;
+    order.memoryMib = 200;
+    order.accelerators = 1;
     order.startWithinMs = 900;
     return order;
 }
 
 constexpr const char *sampleOrderText =
-    R"({"checkpoint":"c","fills":true,"image":"i","kind":"describe","milliCores":500,)"
+    R"({"accelerators":1,"checkpoint":"c","fills":true,"image":"i","kind":"describe",)"
+    R"("memoryMib":200,"milliCores":500,)"
     R"("payload":"p","run":{"number":2,"task":"j.0.0.0"},"sequence":7,"startWithinMs":900,)"
     R"("tailTargetMs":18,"ticket":"t"})";
 
--- a/src/libdispatch/placement.cpp
+++ b/src/libdispatch/placement.cpp
@@ -76,7 +76,8 @@
 bool isEligible(const MinionView &view, const PlacementRequest &request, BootTime now)
 {
     const MinionFacts &facts = view.facts;
-    if (!view.registered || !view.reachable || facts.draining || !isFresh(view, now))
+    if (!view.registered || !view.reachable || facts.draining || !isFresh(view, now) ||
+        view.noRoomUntil != BootTime{})
         return false;
     if (facts.service != request.job->service ||
         request.closedDataCentres->count(facts.dataCentre) != 0)
@@ -152,6 +153,8 @@
     order.tailTargetMs = step.tailTargetMs;
     order.image = step.image;
     order.milliCores = step.demand.milliCores();
+    order.memoryMib = step.demand.memoryMib();
+    order.accelerators = step.demand.accelerators();
     return order;
 }
 
--- a/src/libdispatch/run_ledger.cpp
+++ b/src/libdispatch/run_ledger.cpp
@@ -34,6 +34,8 @@
     tailTargetMs = order.tailTargetMs;
     image = order.image;
     milliCores = order.milliCores;
+    if (order.reserved())
+        demand = order.reserved();
 }
 
 void RunLedger::resetIncarnation()
@@ -80,6 +82,12 @@
     m_snapshotDue = true;
 }
 
+bool RunLedger::hasUnconfirmedEnd(const RunKey &run) const
+{
+    return std::any_of(m_ends.begin(), m_ends.end(),
+                       [&](const auto &entry) { return entry.second.end.run == run; });
+}
+
 void RunLedger::addAbsent(const RunKey &run, const std::string &reason)
 {
     m_absent[run] = {{0, run, RunOutcome::Absent, "", reason}, 0};
@@ -110,6 +118,9 @@
         m_epoch = reply.epoch;
         m_orderSeen = 0;
         m_listedEpoch = -1;
+        // A former owner of an earlier version has not stated all demands.
+        for (auto &[run, local] : m_runs)
+            local.described = local.described && local.demand;
     }
     if (reply.grantMs > 0)
         m_grantUntil = std::max(m_grantUntil, sentAt + Milliseconds(reply.grantMs));
@@ -144,9 +155,17 @@
                 continue;
             }
             run.describe(order);
+            const auto known = m_runs.find(order.run);
+            run.onMinion = known != m_runs.end() && known->second.onMinion;
             m_runs.insert_or_assign(order.run, run);
         } else if (order.kind == OrderKind::Stop) {
-            LocalRun &run = m_runs.try_emplace(order.run).first->second;
+            const auto [entry, added] = m_runs.try_emplace(order.run);
+            LocalRun &run = entry->second;
+            // A start of another session or incarnation may still take effect, but not a run whose
+            // end the owner had not read when it ordered the stop.
+            run.onMinion = run.onMinion || (added && !hasUnconfirmedEnd(order.run));
+            if (order.reserved())
+                run.demand = order.reserved();
             if (std::exchange(run.stopRequested, true))
                 continue; // already in progress or confirmed
         } else if (const auto run = m_runs.find(order.run); run != m_runs.end()) {
@@ -161,8 +180,12 @@
 void RunLedger::applyListing(const MinionListing &listing, std::int64_t epoch, BootTime sentAt,
                              BootTime now)
 {
-    if (listing.bornMs != 0 && listing.bornMs != m_facts.incarnation.bornMs)
+    if (listing.bornMs != 0 && listing.bornMs != m_facts.incarnation.bornMs) {
+        // The registered incarnation has ended.
+        m_unreportedChanges = m_unreportedChanges || m_reachable;
+        m_reachable = false;
         return;
+    }
     m_unreportedChanges = m_unreportedChanges || !m_reachable;
     m_reachable = true;
     m_clockMs = listing.clockMs;
@@ -177,6 +200,7 @@
         run.reported = run.reported && run.phase == Phase::Confirmed;
         run.phase = Phase::Confirmed;
         run.listed = true;
+        run.onMinion = true;
         run.progressPercent = active.progressPercent;
         run.checkpoint = active.checkpoint;
         run.load = active.load;
--- a/src/libdispatch/simulated_cell.h
+++ b/src/libdispatch/simulated_cell.h
@@ -8,6 +8,7 @@
 #include "lavenderarch/dispatch/cell_tables.h"
 #include "lavenderarch/dispatch/ownership_watch.h"
 #include "lavenderarch/dispatch/queue_catalog.h"
+#include "phase_check.h"
 #include "simulated_agent.h"
 
 #include <cstdlib>
@@ -96,6 +97,10 @@
     BootTime now() const { return m_now; }
     SimulatedMinion &minion(std::size_t index) { return m_agents.at(index)->minion; }
     int starts() const { return m_starts; }
+    /// Starts that agents have refused for want of room.
+    int refusedStarts() const { return m_refusedStarts; }
+    /// Agents guard the capacity of their minions.
+    bool guardStarts = true;
     /// Names of tasks of which each run fails.
     std::set<std::string> failingTasks;
     /// Prints the owner's decisions and the events of runs and faults.
@@ -130,7 +135,7 @@
             traceRun("minion ends", run);
             m_running.erase(run);
             if (outcome == RunOutcome::Done)
-                recordDone(run.task);
+                m_phaseCheck.recordDone(run.task);
         };
         minion.onEndAcknowledged = [this](const RunKey &run, RunOutcome outcome) {
             if (outcome == RunOutcome::Done)
@@ -313,6 +318,23 @@
         sendMessage(request);
     }
 
+    /// Asks the agent's guard. Unless the next incarnation may be of another kind, a start is sent
+    /// to a minion that does not answer all the same, as by an agent that has not noticed yet.
+    bool mayStart(Agent &agent, const RunOrder &order)
+    {
+        const StartDecision decision = agent.ledger->decideStart(order.run);
+        if (decision.verdict == StartDecision::Verdict::Wait && m_faults.otherKind > 0) {
+            agent.orders.push_back(order);
+            return false;
+        }
+        if (decision.verdict != StartDecision::Verdict::Refuse)
+            return true;
+        ++m_refusedStarts;
+        traceRun(("agent " + agent.name + " refuses").c_str(), order.run);
+        agent.ledger->startRefused(order.run, decision.reason);
+        return false;
+    }
+
     void executeOrder(Agent &agent, const RunOrder &order)
     {
         const std::int64_t fence = agent.ledger->epoch();
@@ -336,6 +358,8 @@
             agent.ledger->startRefused(order.run, "no lease or too late");
             return;
         }
+        if (guardStarts && !mayStart(agent, order))
+            return;
         agent.ledger->renewalSent(*lease);
         if (chance(m_faults.delayedOrder)) {
             m_delayedStarts.push_back({m_now + randomDuration(200, 9000), &agent,
@@ -378,7 +402,7 @@
             apply(commit->inboxWrites);
             m_commitAt =
                 m_now + (chance(m_faults.lostCommit) ? randomDuration(100, 1500) : stepTime);
-            checkStoredPhases(*commit);
+            m_phaseCheck.checkStored(*commit);
         }
         for (const auto &event : m_owner->takeEvents()) {
             if (!trace)
@@ -406,7 +430,7 @@
         traceRun("minion starts", run);
         const auto name = TaskName::parse(run.task);
         REQUIRE(name);
-        m_begun.insert(name->job);
+        m_phaseCheck.recordStart(name->job);
         const JobSpec &spec = m_specs.at(name->job);
         m_capacityCheck.checkStart(agent.name, agent.minion, run);
         for (const RunKey &other : m_running)
@@ -420,7 +444,7 @@
         for (const int before : step.after) {
             for (int index = 0; index < spec.steps[static_cast<std::size_t>(before)].count; ++index)
                 CHECK_MESSAGE(
-                    m_done.count(TaskName{name->job, name->occurrence, before, index}.text()) == 1,
+                    m_phaseCheck.isDone(TaskName{name->job, name->occurrence, before, index}),
                     "task started before an earlier step was done: ", run.task);
         }
         const auto cancelled = m_cancelledAt.find(name->job);
@@ -430,46 +454,6 @@
                           "task started after its job was cancelled: ", run.task);
     }
 
-    /// The end of one member of a gang as done stands for the whole gang.
-    void recordDone(const std::string &task)
-    {
-        m_done.insert(task);
-        auto name = *TaskName::parse(task);
-        const auto &step = m_specs.at(name.job).steps[static_cast<std::size_t>(name.step)];
-        for (name.index = 0; step.gang && name.index < step.count; ++name.index)
-            m_done.insert(name.text());
-    }
-
-    void checkStoredPhases(const CellCommit &commit)
-    {
-        for (const RowWrite &write : commit.writes) {
-            if (write.key.table != cells::stateTable || write.remove)
-                continue;
-            const std::string &id = write.key.key;
-            const JobPhase phase = Json::parse(write.value).at("phase").get<JobPhase>();
-            if (phase == JobPhase::Running)
-                CHECK_MESSAGE(m_begun.count(id) == 1,
-                              "job stored as running before any of its tasks started: ", id);
-            if (phase == JobPhase::Queued)
-                CHECK_MESSAGE(m_storedAsRunning.count(id) == 0,
-                              "job stored as queued after it was running: ", id);
-            else
-                m_storedAsRunning.insert(id);
-            if (phase == JobPhase::Done)
-                checkAllDone(m_specs.at(id));
-        }
-    }
-
-    void checkAllDone(const JobSpec &spec)
-    {
-        for (std::size_t step = 0; step < spec.steps.size(); ++step) {
-            for (int index = 0; index < spec.steps[step].count; ++index)
-                CHECK_MESSAGE(
-                    m_done.count(TaskName{spec.id, 0, static_cast<int>(step), index}.text()) == 1,
-                    "job stored as done before all its tasks were done: ", spec.id);
-        }
-    }
-
     RandomEngine m_random;
     CellFaults m_faults;
     BootTime m_now;
@@ -479,6 +463,7 @@
     std::int64_t m_epoch = 0;
     int m_sessions = 0;
     int m_starts = 0;
+    int m_refusedStarts = 0;
     std::unique_ptr<CellDispatcher> m_owner;
     BootTime m_takeOverAt{};
     BootTime m_commitAt{};         // when the owner learns that its commit is stored
@@ -488,11 +473,9 @@
     std::vector<DelayedStart> m_delayedStarts;
     std::map<std::string, JobSpec> m_specs;
     CapacityCheck m_capacityCheck{m_specs};
+    PhaseCheck m_phaseCheck{m_specs};
     std::map<std::string, BootTime> m_cancelledAt;
     std::set<RunKey> m_running;
-    std::set<std::string> m_begun;           // jobs of which a task has started
-    std::set<std::string> m_storedAsRunning; // jobs that were stored in a later phase than queued
-    std::set<std::string> m_done;
     std::set<std::string> m_acknowledgedDone;
     std::map<std::string, int> m_acknowledgedFailures;
 };
