Reserve room for unexpected runs of unknown jobs, in brief messages and in a predecessor's list

Found in the review of the owner's accounts: a run that a minion has and the owner does not expect is stopped, which takes up to 900 ms, and keeps its room until its end is listed. The owner did not count it - if its job or task is not known (expired, unreadable row, a name that is none): nothing was reserved. Now at once; - if the message of an agent still had the list of a former owner's epoch: a new owner places runs after that message, but read its list only under its own epoch. Now it reserves what the list shows and describes runs that the agent has adopted, so that starts do not arrive before the descriptions.

The tests failed before (each: the job is placed beside the unexpected run): unexpected_runs_test.cpp:79, 79, 103, 123: CHECK( cell.run("a") == 0 ) values: CHECK( 1 == 0 ) :106: the order is a start, not a stop; :140: a start, not a description

Mutants by hand: all three new ones are caught.

--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -65,6 +65,14 @@
     if (request.listed && sameEpoch) {
         view.snapshot = request.number;
         processRuns(view, request, now);
+        return;
+    }
+    // What a former owner's list shows may still run.
+    for (const RunReport &report : request.runs) {
+        if (view.runs.count(report.run) == 0)
+            reserveUnexpected(view, report.run);
+        else if (report.undescribed)
+            describe(view, report.run);
     }
 }
 
@@ -81,6 +89,8 @@
     for (const RunReport &report : request.runs) {
         if (view.runs.count(report.run) != 0)
             processReport(view, report, now);
+        else
+            processUnexpected(view, report, now);
     }
 }
 
--- a/src/libdispatch/cell_dispatcher_reports.cpp
+++ b/src/libdispatch/cell_dispatcher_reports.cpp
@@ -44,17 +44,18 @@
     recordEvent("stopping a run that is not expected on this minion",
                 {{"task", report.run.task},
                  {"run", std::to_string(report.run.number)},
-                 {"agent", view.agent}});
+                 {"agent", view.agent},
+                 {"reserved", view.unexpectedRuns.at(report.run).text()}});
     std::int64_t sequence = 0;
     sendStop(view, report.run, sequence);
 }
 
-/// Reserves the demand of the run until it ends.
+/// Reserves the demand of the run until it ends; all of the minion if its task is not known.
 void CellDispatcher::reserveUnexpected(MinionView &view, const RunKey &run)
 {
     const auto [job, task] = locate(run.task);
-    if (task != nullptr)
-        view.unexpectedRuns[run] = reservedDemand(stepOf(*job, run));
+    view.unexpectedRuns[run] =
+        task != nullptr ? reservedDemand(stepOf(*job, run)) : view.facts.capacity;
 }
 
 void CellDispatcher::describe(MinionView &view, const RunKey &run)
