--- a/src/include/lavenderarch/runtime/agent_loop.h
+++ b/src/include/lavenderarch/runtime/agent_loop.h
@@ -81,6 +81,7 @@
 
 private:
     using Lease = RunLedger::Lease;
+    using Verdict = StartDecision::Verdict;
 
     /// Requires m_mutex.
     void updateFacts(const MinionFacts &facts, std::int64_t sequence, BootTime now)
@@ -360,6 +361,7 @@
             ControlContext context;
             std::optional<Lease> lease;
             BootTime startBy{};
+            StartDecision decision;
             {
                 const std::scoped_lock lock(m_mutex);
                 if (!m_ledger.shouldRun(order.run))
@@ -369,15 +371,26 @@
                 if (!m_ledger.facts().draining)
                     lease = m_ledger.lease(BootClock::now());
                 if (lease)
+                    decision = m_ledger.decideStart(order.run);
+                if (decision.verdict == Verdict::Send)
                     m_ledger.renewalSent(*lease);
             }
             const BootTime now = BootClock::now();
             const bool late = now >= std::min(began + startTimeout, startBy);
             MinionAnswer answer;
-            if (lease && !late) {
+            if (lease && !late && decision.verdict != Verdict::Send) {
+                const bool waits = decision.verdict == Verdict::Wait &&
+                                   (mayHaveStarted || now < began + unreachableWait);
+                if (waits) {
+                    std::this_thread::sleep_for(orderRetryPause);
+                    continue;
+                }
+                logWithheld(order.run, decision);
+                answer = {OrderAnswer::Refused, decision.reason, 0};
+            } else if (lease && !late) {
                 answer = m_minion.start(context, order, *lease,
                                         std::min(now + orderAttemptTimeout, startBy));
-                logStart(order.run, answer, began, startBy);
+                logStart(order.run, answer, began, startBy, decision);
             } else {
                 answer = {OrderAnswer::Refused, late ? "not started in time" : "no lease", 0};
             }
@@ -451,7 +464,25 @@
         }
     }
 
-    void logStart(const RunKey &run, const MinionAnswer &answer, BootTime began, BootTime startBy)
+    /// Logs a start that is not sent to the minion.
+    void logWithheld(const RunKey &run, const StartDecision &decision)
+    {
+        const bool noRoom = decision.verdict == Verdict::Refuse;
+        m_metrics.increment("lavender_starts_withheld_total",
+                            {{"reason", noRoom ? "room" : "unreachable"}});
+        logEvent(LogLevel::Warning, "agent", "start withheld from the minion",
+                 {{"task", run.task},
+                  {"run", std::to_string(run.number)},
+                  {"reason", decision.reason},
+                  {"minion", decision.incarnation.id},
+                  {"bornMs", std::to_string(decision.incarnation.bornMs)},
+                  {"capacity", decision.capacity.text()},
+                  {"committed", decision.committed.text()},
+                  {"demand", decision.demand.text()}});
+    }
+
+    void logStart(const RunKey &run, const MinionAnswer &answer, BootTime began, BootTime startBy,
+                  const StartDecision &decision)
     {
         const BootTime now = BootClock::now();
         m_metrics.increment("lavender_starts_total",
@@ -462,6 +493,9 @@
              {"run", std::to_string(run.number)},
              {"answer", std::string(answerName(answer.answer))},
              {"reason", answer.reason},
+             {"capacity", decision.capacity.text()},
+             {"committed", decision.committed.text()},
+             {"demand", decision.demand.text()},
              {"sinceOrderMs", std::to_string((now - began).count())},
              {"startTimeLeftMs",
               startBy == BootTime::max() ? "unlimited" : std::to_string((startBy - now).count())}});
--- a/src/include/lavenderarch/runtime/agent_times.h
+++ b/src/include/lavenderarch/runtime/agent_times.h
@@ -33,6 +33,8 @@
 /// A minion checks in every second or two. After this time without one that is newer, the sequence
 /// of the newest is not the minion's own.
 inline constexpr Milliseconds factsSilence{8000};
+/// A start that has not been sent is refused if the minion does not answer for this time.
+inline constexpr Milliseconds unreachableWait{500};
 /// Number of orders sent to the minion concurrently.
 inline constexpr int orderThreads = 4;
 
--- a/src/libdispatch/stored_phase_check.h
+++ b/src/libdispatch/phase_check.h
@@ -1,30 +1,41 @@
-// Check of the job phases that the owner of a simulated cell stores.
+// Check of the phases of jobs that a simulated cell stores.
 #pragma once
 
 #include "lavenderarch/dispatch/cell_commit.h"
 #include "lavenderarch/dispatch/cell_tables.h"
+#include "lavenderarch/dispatch/job_phase.h"
 #include "lavenderarch/dispatch/job_spec.h"
 #include "lavenderarch/dispatch/task_name.h"
 
 #include <doctest/doctest.h>
+#include <map>
 #include <set>
 
 namespace lavenderarch::testing {
 
-/// Compares stored phases with what has happened on the minions. Refers to the jobs, to those of
-/// which a task has started and to the tasks that are done; they must outlive it.
-class StoredPhaseCheck
+/// Compares stored phases with the starts and ends that the simulated minions have seen.
+class PhaseCheck
 {
 public:
-    StoredPhaseCheck(const std::map<std::string, JobSpec> &specs,
-                     const std::set<std::string> &begun, const std::set<std::string> &done)
+    explicit PhaseCheck(const std::map<std::string, JobSpec> &specs)
         : m_specs(specs)
-        , m_begun(begun)
-        , m_done(done)
     {
     }
 
-    void checkCommit(const CellCommit &commit)
+    /// A task of the job has started.
+    void recordStart(const std::string &job) { m_begun.insert(job); }
+    /// The end of one member of a gang as done stands for the whole gang.
+    void recordDone(const std::string &task)
+    {
+        m_done.insert(task);
+        auto name = *TaskName::parse(task);
+        const auto &step = m_specs.at(name.job).steps[static_cast<std::size_t>(name.step)];
+        for (name.index = 0; step.gang && name.index < step.count; ++name.index)
+            m_done.insert(name.text());
+    }
+    bool isDone(const TaskName &task) const { return m_done.count(task.text()) == 1; }
+
+    void checkStored(const CellCommit &commit)
     {
         for (const RowWrite &write : commit.writes) {
             if (write.key.table != cells::stateTable || write.remove)
@@ -45,20 +56,19 @@
     }
 
 private:
-    void checkAllDone(const JobSpec &spec)
+    void checkAllDone(const JobSpec &spec) const
     {
         for (std::size_t step = 0; step < spec.steps.size(); ++step) {
             for (int index = 0; index < spec.steps[step].count; ++index)
-                CHECK_MESSAGE(
-                    m_done.count(TaskName{spec.id, 0, static_cast<int>(step), index}.text()) == 1,
-                    "job stored as done before all its tasks were done: ", spec.id);
+                CHECK_MESSAGE(isDone(TaskName{spec.id, 0, static_cast<int>(step), index}),
+                              "job stored as done before all its tasks were done: ", spec.id);
         }
     }
 
     const std::map<std::string, JobSpec> &m_specs;
-    const std::set<std::string> &m_begun;
-    const std::set<std::string> &m_done;
+    std::set<std::string> m_begun;           // jobs of which a task has started
     std::set<std::string> m_storedAsRunning; // jobs that were stored in a later phase than queued
+    std::set<std::string> m_done;
 };
 
 } // namespace lavenderarch::testing
