A renewal of the ownership counts from the attempt that may have been stored

Cause: when the answer to a renewal was lost, the owner repeated the commit, learned from the refusal that the row held its own write, and took the ownership as renewed when the repetition was sent. The row had changed with an earlier attempt, and the other entries count 2.5 s from that. An owner that then loses the store acts for up to 2 s from the repetition, beyond the takeover. The leases that it grants after the next owner has loaded the cell are not counted.

Evidence, before: "a renewal whose answer was lost counts from its first attempt" fails (renewedAt is after the time of the first attempt). Fix: unless the attempt itself was stored, the first attempt counts. The owner then renews at once, as its renewal is older than the interval.

--- a/src/include/lavenderarch/runtime/owner_fence.h
+++ b/src/include/lavenderarch/runtime/owner_fence.h
@@ -117,7 +117,8 @@
 
     std::int64_t epoch() const { return m_record.epoch; }
     std::int64_t sequence() const { return m_record.sequence; }
-    /// When the latest stored renewal was sent. Thread-safe.
+    /// When the latest stored renewal was sent, or the first attempt of it if it is not known which
+    /// one was stored. Thread-safe.
     BootTime renewedAt() const { return m_renewedAt.load(); }
 
 private:
@@ -126,14 +127,16 @@
         const RowKey key = cells::ownerRowKey(m_cell);
         OwnerRecord next = m_record;
         ++next.sequence;
-        if (m_pendingMark.empty())
+        const BootTime sentAt = BootClock::now();
+        if (m_pendingMark.empty()) {
             m_pendingMark = makeUniqueId().substr(0, 12);
+            m_pendingSince = sentAt;
+        }
         next.mark = m_pendingMark;
         RowTransaction change;
         change.conditions.push_back({key, m_version});
         change.writes = writes;
         change.writes.push_back({key, Json(next).dump(), false});
-        const BootTime sentAt = BootClock::now();
         const auto commit = m_store.commit(change, deadline);
         if (!commit.ok()) {
             if (kindOf(commit.status()) == ErrorKind::OutcomeUnknown)
@@ -151,7 +154,8 @@
             m_version = commit->version;
         m_record = next;
         m_pendingMark.clear();
-        m_renewedAt = sentAt;
+        // Others count from when the row changed, which an earlier attempt may have done.
+        m_renewedAt = commit->committed ? sentAt : m_pendingSince;
         return Outcome::Stored;
     }
 
@@ -187,6 +191,7 @@
     std::int64_t m_version = 0; // of the owner row
     AdaptiveTimeout m_commitTimeout;
     std::string m_pendingMark; // of a write with unknown outcome
+    BootTime m_pendingSince{}; // when its first attempt was sent
     std::atomic<BootTime> m_renewedAt{BootTime{}};
 };
 
