--- a/src/include/lavenderarch/core/json_integers.h
+++ b/src/include/lavenderarch/core/json_integers.h
@@ -10,7 +10,7 @@
 /// Integers that do not fit into the type are errors, also as part of records: the conversions of
 /// the library wrap around, and those of large doubles are undefined.
 template <typename Integer>
-struct checked_integer_serializer
+struct CheckedIntegerSerializer
 {
     template <typename Basic>
     static void to_json(Basic &out, Integer value)
@@ -26,12 +26,12 @@
 };
 
 template <>
-struct adl_serializer<int> : checked_integer_serializer<int>
+struct adl_serializer<int> : CheckedIntegerSerializer<int>
 {
 };
 
 template <>
-struct adl_serializer<std::int64_t> : checked_integer_serializer<std::int64_t>
+struct adl_serializer<std::int64_t> : CheckedIntegerSerializer<std::int64_t>
 {
 };
 
--- a/src/include/lavenderarch/dispatch/minion_incarnation.h
+++ b/src/include/lavenderarch/dispatch/minion_incarnation.h
@@ -14,7 +14,8 @@
     std::string id;
     std::int64_t bornMs = 0;
 
-    friend auto operator<=>(const MinionIncarnation &, const MinionIncarnation &) = default;
+    friend auto operator<=>(const MinionIncarnation &,
+                            const MinionIncarnation &) = default; // NOLINT(modernize-use-nullptr)
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(MinionIncarnation, id, bornMs)
 };
 
