Sums of resources stop at the limits of their type

Seen: a job with a demand of 2^63 - 1 millicores, MiB or accelerators was placed beside a run of 500 millicores on a minion with 1000: the sum of what was reserved and the demand overflowed, became negative and so fitted.

Now sums and differences of Resources saturate, so that a sum that is too large fits into no capacity; the processors of best-effort tasks, which count against none, are added up alike.

Mutant by hand: a sum that wraps around is caught.

--- a/src/include/lavenderarch/core/resources.h
+++ b/src/include/lavenderarch/core/resources.h
@@ -1,13 +1,16 @@
 // Resource vectors: processors, memory and accelerators.
 #pragma once
 
+#include "lavenderarch/core/saturating.h"
+
 #include <compare>
 #include <cstdint>
 #include <string>
 
 namespace lavenderarch {
 
-/// Immutable resource vector. Processors in millicores, memory in MiB.
+/// Immutable resource vector. Processors in millicores, memory in MiB. Sums and differences stop at
+/// the limits of their type, so that a sum that is too large fits into no capacity.
 class Resources
 {
 public:
@@ -38,13 +41,15 @@
 
     friend constexpr Resources operator+(const Resources &left, const Resources &right)
     {
-        return {left.m_milliCores + right.m_milliCores, left.m_memoryMib + right.m_memoryMib,
-                left.m_accelerators + right.m_accelerators};
+        return {saturatingSum(left.m_milliCores, right.m_milliCores),
+                saturatingSum(left.m_memoryMib, right.m_memoryMib),
+                saturatingSum(left.m_accelerators, right.m_accelerators)};
     }
     friend constexpr Resources operator-(const Resources &left, const Resources &right)
     {
-        return {left.m_milliCores - right.m_milliCores, left.m_memoryMib - right.m_memoryMib,
-                left.m_accelerators - right.m_accelerators};
+        return {saturatingDifference(left.m_milliCores, right.m_milliCores),
+                saturatingDifference(left.m_memoryMib, right.m_memoryMib),
+                saturatingDifference(left.m_accelerators, right.m_accelerators)};
     }
     friend constexpr bool operator==(const Resources &, const Resources &) = default;
 
--- a/src/libcore/core_test.cpp
+++ b/src/libcore/core_test.cpp
@@ -7,6 +7,7 @@
 #include "lavenderarch/core/status.h"
 
 #include <doctest/doctest.h>
+#include <limits>
 #include <set>
 
 using namespace lavenderarch;
@@ -48,6 +49,11 @@
     CHECK_FALSE(Resources(1, 1025, 0).fitsInto(capacity));
     CHECK_FALSE(Resources(1, 1, 2).fitsInto(capacity));
     CHECK((capacity - Resources(1, 2, 1)) == Resources(3999, 1022, 0));
+    constexpr std::int64_t largest = std::numeric_limits<std::int64_t>::max();
+    CHECK((Resources(largest, largest, 1) + Resources(1, largest, 1)) ==
+          Resources(largest, largest, 2));
+    CHECK((Resources(-largest, 0, 0) - Resources(largest, -largest, 0)) ==
+          Resources(-largest - 1, largest, 0));
 }
 
 TEST_CASE("the digest of a truncated text differs")
--- a/src/libdispatch/placement.cpp
+++ b/src/libdispatch/placement.cpp
@@ -1,6 +1,8 @@
 // Checks which minions may run a task and scores them for placement.
 #include "placement.h"
 
+#include "lavenderarch/core/saturating.h"
+
 #include <algorithm>
 
 namespace lavenderarch {
@@ -92,19 +94,20 @@
 {
     std::int64_t sum = 0;
     for (const auto &[run, bestEffort] : view.bestEffort)
-        sum += bestEffort.milliCores;
+        sum = saturatingSum(sum, bestEffort.milliCores);
     return sum;
 }
 
 /// Thousandths of a core that no regular or serving task has reserved.
 std::int64_t unreservedMilliCores(const MinionView &view)
 {
-    return view.facts.capacity.milliCores() - committedResources(view).milliCores();
+    return (view.facts.capacity - committedResources(view)).milliCores();
 }
 
 double bestEffortScore(const MinionView &view, const PlacementRequest &request, double pace)
 {
-    const std::int64_t spareMilliCores = unreservedMilliCores(view) - bestEffortMilliCores(view);
+    const std::int64_t spareMilliCores =
+        saturatingDifference(unreservedMilliCores(view), bestEffortMilliCores(view));
     return paceWeight * pace + share(spareMilliCores, view.facts.capacity.milliCores()) -
            headroomLossWeight * worstLossShare(view, *request.step, *request.tailModel);
 }
@@ -123,7 +126,7 @@
     const Resources &capacity = view.facts.capacity;
     const double cores = share(unreservedMilliCores(view), capacity.milliCores());
     const double memory =
-        share(capacity.memoryMib() - committedResources(view).memoryMib(), capacity.memoryMib());
+        share((capacity - committedResources(view)).memoryMib(), capacity.memoryMib());
     return std::min(cores, memory) + (view.serving.empty() ? 0 : servingMinionBonus) -
            share(bestEffortMilliCores(view), capacity.milliCores());
 }
