--- a/src/libdispatch/cell_faults.h
+++ b/src/libdispatch/cell_faults.h
@@ -10,8 +10,8 @@
     int ownerCrash = 0;
     int agentRestart = 0;
     int minionCrash = 0;
-    int otherKind = 0; ///< per restart of a minion: its capacity is that of another kind
-    int slowStop = 0;  ///< per stop: it takes 200 to 900 ms
+    int otherKind = 0;      ///< per restart of a minion: its capacity is that of another kind
+    int slowStop = 0;       ///< per stop: it takes 200 to 900 ms
     int agentPartition = 0; ///< the agent cannot reach the owner for 3 to 12 s
     int delayedOrder = 0;   ///< per start order: it is executed up to 9 s late
     int lostCommit = 0;     ///< per commit: its answer is lost
