Logs: name the incarnation of a minion that orders, leases and listings refer to

What could not be told from logs and traces: on which incarnation of a minion a start or a stop was meant to take effect, that a listing of another incarnation was ignored, and which lease an agent assumed when it reported its runs as absent. The id alone does not tell, since a minion may restart under it.

Starts and stops now carry bornMs and epoch, starts also the end of the lease and the minion's clock; a registration names the former incarnation; a listing by another incarnation is logged once per change. The owner names the incarnation when it places runs and when a lease lapses. No decision changes.

--- a/src/include/lavenderarch/runtime/agent_loop.h
+++ b/src/include/lavenderarch/runtime/agent_loop.h
@@ -90,6 +90,7 @@
             logEvent(LogLevel::Info, "agent", "minion registered",
                      {{"minion", facts.incarnation.id},
                       {"bornMs", std::to_string(facts.incarnation.bornMs)},
+                      {"formerBornMs", std::to_string(previous.incarnation.bornMs)},
                       {"draining", facts.draining ? "yes" : "no"},
                       {"sequence", std::to_string(sequence)}});
         m_reportNeeded.notify_one();
@@ -100,7 +101,10 @@
     void minionLeft(const std::string &id)
     {
         const std::scoped_lock lock(m_mutex);
-        logEvent(LogLevel::Info, "agent", "minion deregistered", {{"minion", id}});
+        logEvent(LogLevel::Info, "agent", "minion deregistered",
+                 {{"minion", id},
+                  {"registered", m_ledger.facts().incarnation.id},
+                  {"registeredBornMs", std::to_string(m_ledger.facts().incarnation.bornMs)}});
         m_ledger.minionLeft(id);
         m_reportNeeded.notify_one();
     }
@@ -248,6 +252,7 @@
                 return;
             const bool reachable = m_ledger.reachable();
             if (listing.ok()) {
+                logAnsweringIncarnation(context, *listing);
                 m_ledger.applyListing(*listing, context.epoch, sentAt, BootClock::now());
                 if (BootClock::now() >= m_nextPace) {
                     paces = decidePaces(m_ledger, BootClock::now());
@@ -259,10 +264,12 @@
             if (reachable != m_ledger.reachable()) {
                 if (listing.ok())
                     logEvent(LogLevel::Info, "agent", "minion is reachable",
-                             {{"minion", context.incarnation.id}});
+                             {{"minion", context.incarnation.id},
+                              {"bornMs", std::to_string(context.incarnation.bornMs)}});
                 else
                     logFailure("agent", "minion is unreachable", listing.status(),
-                               {{"minion", context.incarnation.id}});
+                               {{"minion", context.incarnation.id},
+                                {"bornMs", std::to_string(context.incarnation.bornMs)}});
             }
             if (m_ledger.hasUnreportedChanges())
                 m_reportNeeded.notify_one();
@@ -271,6 +278,22 @@
             setPace(context, change);
     }
 
+    /// Requires m_mutex. Logs a listing by another incarnation than the call was meant for, once
+    /// for each change of the incarnation that answers.
+    void logAnsweringIncarnation(const ControlContext &context, const MinionListing &listing)
+    {
+        const bool other = listing.bornMs != 0 && listing.bornMs != context.incarnation.bornMs;
+        const std::int64_t answering = other ? listing.bornMs : 0;
+        if (std::exchange(m_otherBornMs, answering) == answering || !other)
+            return;
+        logEvent(LogLevel::Warning, "agent", "another incarnation of the minion answered",
+                 {{"minion", context.incarnation.id},
+                  {"bornMs", std::to_string(context.incarnation.bornMs)},
+                  {"answeringBornMs", std::to_string(listing.bornMs)},
+                  {"minionClockMs", std::to_string(listing.clockMs)},
+                  {"running", std::to_string(listing.active.size())}});
+    }
+
     void setPace(const ControlContext &context, const PaceChange &change)
     {
         const MinionAnswer answer = m_minion.pace(context, change.run, change.percent,
@@ -333,7 +356,7 @@
             if (lease && !late) {
                 answer = m_minion.start(context, order, *lease,
                                         std::min(now + orderAttemptTimeout, startBy));
-                logStart(order.run, answer, began, startBy);
+                logStart(context, order.run, *lease, answer, began, startBy);
             } else {
                 answer = {OrderAnswer::Refused, late ? "not started in time" : "no lease", 0};
             }
@@ -396,6 +419,9 @@
             logEvent(LogLevel::Info, "agent", "stop sent to the minion",
                      {{"task", run.task},
                       {"run", std::to_string(run.number)},
+                      {"minion", context.incarnation.id},
+                      {"bornMs", std::to_string(context.incarnation.bornMs)},
+                      {"epoch", std::to_string(context.epoch)},
                       {"answer", std::string(answerName(answer.answer))},
                       {"reason", answer.reason}});
             if (answer.answer == OrderAnswer::Accepted || answer.answer == OrderAnswer::Ended) {
@@ -407,7 +433,9 @@
         }
     }
 
-    void logStart(const RunKey &run, const MinionAnswer &answer, BootTime began, BootTime startBy)
+    /// `context` is the incarnation that the start was meant for.
+    void logStart(const ControlContext &context, const RunKey &run, const Lease &lease,
+                  const MinionAnswer &answer, BootTime began, BootTime startBy)
     {
         const BootTime now = BootClock::now();
         m_metrics.increment("lavender_starts_total",
@@ -416,6 +444,11 @@
             LogLevel::Info, "agent", "start sent to the minion",
             {{"task", run.task},
              {"run", std::to_string(run.number)},
+             {"minion", context.incarnation.id},
+             {"bornMs", std::to_string(context.incarnation.bornMs)},
+             {"epoch", std::to_string(context.epoch)},
+             {"untilMinionMs", std::to_string(lease.untilMinionMs)},
+             {"minionClockMs", std::to_string(answer.clockMs)},
              {"answer", std::string(answerName(answer.answer))},
              {"reason", answer.reason},
              {"sinceOrderMs", std::to_string((now - began).count())},
@@ -434,10 +467,11 @@
     std::condition_variable m_confirmed;    // wakes the renewal thread
     RunLedger m_ledger;                     // guarded by m_mutex
     BootTime m_nextPace{};                  // used by the renewal thread only
-    std::deque<RunOrder> m_orders;          // guarded by m_mutex
-    std::optional<Address> m_owner;         // guarded by m_mutex
-    bool m_connected = false;               // guarded by m_mutex
-    std::vector<std::jthread> m_threads;    // declared last, so joined first
+    std::int64_t m_otherBornMs = 0;      // of another incarnation that answers; guarded by m_mutex
+    std::deque<RunOrder> m_orders;       // guarded by m_mutex
+    std::optional<Address> m_owner;      // guarded by m_mutex
+    bool m_connected = false;            // guarded by m_mutex
+    std::vector<std::jthread> m_threads; // declared last, so joined first
 };
 
 } // namespace lavenderarch
--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -229,9 +229,13 @@
         // Start orders address the minion by its id only, so one that was never answered may have
         // reached the new incarnation. A stop ends the run there and makes the minion reject that
         // run number from then on.
-        recordEvent(
-            "minion restarted; stopping the run on its new incarnation",
-            {{"task", run.task}, {"run", std::to_string(run.number)}, {"agent", view.agent}});
+        recordEvent("minion restarted; stopping the run on its new incarnation",
+                    {{"task", run.task},
+                     {"run", std::to_string(run.number)},
+                     {"agent", view.agent},
+                     {"minion", view.facts.incarnation.id},
+                     {"bornMs", std::to_string(view.facts.incarnation.bornMs)},
+                     {"formerBornMs", std::to_string(task->incarnation.bornMs)}});
         task->incarnation = view.facts.incarnation;
         stop(view, run, *task);
         markDirty(*job);
@@ -468,6 +472,8 @@
         if (!view.runs.empty() && now - view.leaseStart > lease + leaseMargin) {
             recordEvent("minion lease lapsed without renewal",
                         {{"agent", agent},
+                         {"minion", view.facts.incarnation.id},
+                         {"bornMs", std::to_string(view.facts.incarnation.bornMs)},
                          {"leaseAgeMs", std::to_string((now - view.leaseStart).count())},
                          {"heardMsAgo", std::to_string((now - view.lastHeard).count())}});
             endLapsedRuns(view, "the lease lapsed", now);
--- a/src/libdispatch/cell_dispatcher_placement.cpp
+++ b/src/libdispatch/cell_dispatcher_placement.cpp
@@ -316,6 +316,7 @@
     recordEvent("runs placed", {{"runs", list},
                                 {"agent", view.agent},
                                 {"minion", view.facts.incarnation.id},
+                                {"bornMs", std::to_string(view.facts.incarnation.bornMs)},
                                 {"heardMsAgo", std::to_string((now - view.lastHeard).count())},
                                 {"inboxAgeMs", std::to_string((now - m_inboxTime).count())},
                                 {"catalogVersion", std::to_string(m_catalog->version)}});
--- a/src/libdispatch/run_ledger.cpp
+++ b/src/libdispatch/run_ledger.cpp
@@ -238,8 +238,12 @@
     const auto drift = (m_sentLease.until - m_clockAt) * maxClockDriftPercent / 100;
     if (m_runs.empty() || now <= m_sentLease.until + drift + expiryMargin)
         return;
+    const std::string reason = "the minion is silent and its lease has lapsed (bornMs " +
+                               std::to_string(m_facts.incarnation.bornMs) + ", until " +
+                               std::to_string(m_sentLease.untilMinionMs) + " on its clock, " +
+                               std::to_string((now - m_sentLease.until).count()) + " ms ago)";
     for (const auto &[run, local] : m_runs)
-        addAbsent(run, "the minion is silent and its lease has lapsed");
+        addAbsent(run, reason);
     m_runs.clear();
 }
 
