Simulation: the minion shortens leases and answers starts as the platform's page says

Trace: an agent that does not know yet that its minion has restarted repeats the lease in the clock of the former incarnation. The simulated minion took it over as it was; leases of up to 16 s were in force where the owner assumes 5.4 s.

The platform's page says that a longer lease is shortened to the longest one, counted from when it is given, so this length was a fault of the simulated minion.

Laxer than the page, now as it says: leases are shortened, clocks run 0 to 2 % slow. Stricter than the page: a stop reached only the incarnation that the agent believed in, though calls name the minion by its id only. Different: a start that is late, refused or fenced was taken as confirmed or was dropped; an agent without a registration renewed, though it knows no id; a listing held more than 500 ends.

--- a/src/libdispatch/simulated_cell.h
+++ b/src/libdispatch/simulated_cell.h
@@ -144,7 +144,7 @@
     void takeOver()
     {
         DispatchLimits limits;
-        limits.leaseMs = 5000;
+        limits.leaseMs = 5000; // 0.9 of SimulatedMinion::longestLeaseMs
         limits.cancelMs = 3000;
         limits.evacuateMs = 5000;
         m_owner = std::make_unique<CellDispatcher>("svc", limits, ++m_epoch);
@@ -259,6 +259,8 @@
         if (agent.nextRenewal > m_now)
             return;
         agent.nextRenewal = m_now + Milliseconds(100);
+        if (!agent.ledger->registered())
+            return; // the id of the minion is not known
         const auto lease = agent.ledger->lease(m_now);
         if (lease)
             agent.ledger->renewalSent(*lease);
@@ -304,12 +306,10 @@
     void executeOrder(Agent &agent, const RunOrder &order)
     {
         const std::int64_t fence = agent.ledger->epoch();
-        const bool sameIncarnation =
-            agent.ledger->facts().incarnation == agent.minion.facts.incarnation;
         if (order.kind == OrderKind::Stop) {
             if (agent.ledger->runs().count(order.run) == 0)
                 return;
-            if (sameIncarnation && agent.minion.stop(order.run, fence))
+            if (agent.minion.stop(order.run, fence) == OrderAnswer::Accepted)
                 agent.ledger->stopConfirmed(order.run, m_now);
             else
                 agent.orders.push_back(order);
@@ -331,13 +331,17 @@
                                        lease->untilMinionMs});
             return; // without an answer to the start, the ledger keeps the run as starting
         }
-        if (startAt(agent, order, fence, lease->untilMinionMs))
+        const OrderAnswer answer = startAt(agent, order, fence, lease->untilMinionMs);
+        if (answer == OrderAnswer::Accepted || answer == OrderAnswer::Ended)
             agent.ledger->startConfirmed(order.run, m_now);
-        else if (!agent.minion.up)
-            agent.orders.push_back(order); // no answer; retried, possibly on the next incarnation
+        else if (answer == OrderAnswer::Unknown)
+            agent.orders.push_back(order); // retried, possibly on the next incarnation
+        else
+            agent.ledger->startRefused(order.run, std::string(answerName(answer)));
     }
 
-    bool startAt(Agent &agent, const RunOrder &order, std::int64_t fence, std::int64_t untilMs)
+    OrderAnswer startAt(Agent &agent, const RunOrder &order, std::int64_t fence,
+                        std::int64_t untilMs)
     {
         const bool fails = failingTasks.count(order.run.task) != 0;
         const auto name = TaskName::parse(order.run.task);
--- a/src/libdispatch/simulated_minion.h
+++ b/src/libdispatch/simulated_minion.h
@@ -1,19 +1,26 @@
-// A simulated minion for tests: runs tasks under leases and may crash.
+// A simulated minion for tests: runs tasks under leases and may crash. It answers as the platform's
+// page on running tasks says.
 #pragma once
 
 #include "lavenderarch/core/random.h"
+#include "lavenderarch/dispatch/minion_answer.h"
 #include "lavenderarch/dispatch/minion_facts.h"
 #include "lavenderarch/dispatch/minion_listing.h"
 #include "lavenderarch/dispatch/run_ledger.h"
 
+#include <algorithm>
 #include <functional>
 
 namespace lavenderarch::testing {
 
-/// Times are simulation times. The minion's own clock starts at 0 with each incarnation.
+/// Times are simulation times. The minion's own clock starts at 0 with each incarnation and runs up
+/// to 2 % slow. Calls name the minion by its id only, so they are carried out by any incarnation.
 class SimulatedMinion
 {
 public:
+    /// Longest lease, on the minion's clock; longer ones are shortened to it.
+    static constexpr std::int64_t longestLeaseMs = 5556;
+
     struct Active
     {
         int run = 0;
@@ -34,17 +41,23 @@
     {
         facts.incarnation = {id, now.time_since_epoch().count()};
         m_startedAt = now;
+        m_slowPercent = now.time_since_epoch().count() / 20 % 3;
         m_active.clear();
         m_ends.clear();
         m_highestRun.clear();
         m_nextEnd = 1;
         m_lapsedEnds = 0;
         m_fence = 0;
-        m_leaseUntil = now;
+        m_leaseUntilMs = 0;
         up = true;
     }
 
-    std::int64_t clockMs(BootTime now) const { return (now - m_startedAt).count(); }
+    std::int64_t clockMs(BootTime now) const
+    {
+        return (now - m_startedAt).count() * (100 - m_slowPercent) / 100;
+    }
+    /// End of the newest lease, on the minion's clock.
+    std::int64_t leaseUntilMs() const { return m_leaseUntilMs; }
     const std::map<std::string, Active> &active() const { return m_active; }
 
     /// Ends the runs that are due, and all runs if the lease has lapsed.
@@ -53,13 +66,14 @@
         if (!up)
             return;
         // An end counts as acknowledged only if the lease has been valid ever since.
-        if (m_leaseUntil <= now)
+        const bool lapsed = m_leaseUntilMs <= clockMs(now);
+        if (lapsed)
             m_lapsedEnds = m_nextEnd;
         std::vector<std::pair<std::string, RunOutcome>> ended;
         for (const auto &[task, run] : m_active) {
             if (run.endsAt <= now)
                 ended.emplace_back(task, run.outcome);
-            else if (m_leaseUntil <= now)
+            else if (lapsed)
                 ended.emplace_back(task, RunOutcome::Lapsed);
         }
         for (const auto &[task, outcome] : ended)
@@ -74,34 +88,39 @@
         m_active.clear();
     }
 
-    /// Returns false if the minion is down or has seen a newer fence.
-    bool start(const RunKey &run, std::int64_t fence, std::int64_t untilMs, Milliseconds length,
-               RunOutcome outcome, BootTime now)
+    OrderAnswer start(const RunKey &run, std::int64_t fence, std::int64_t untilMs,
+                      Milliseconds length, RunOutcome outcome, BootTime now)
     {
-        if (!up || fence < m_fence)
-            return false;
+        if (!up)
+            return OrderAnswer::Unknown;
+        if (fence < m_fence)
+            return OrderAnswer::Fenced;
         m_fence = fence;
-        extend(untilMs);
-        if (untilMs <= clockMs(now) || m_highestRun[run.task] >= run.number)
-            return true;
+        if (untilMs <= clockMs(now))
+            return OrderAnswer::Refused; // late
+        extend(untilMs, now);
         const auto known = m_active.find(run.task);
-        if (known != m_active.end())
-            return true;
+        if (known != m_active.end() && known->second.run == run.number)
+            return OrderAnswer::Accepted;
+        if (known != m_active.end() || m_highestRun[run.task] >= run.number)
+            return OrderAnswer::Ended;
         m_active[run.task] = {run.number, now + length, outcome};
         onStart(run);
-        return true;
+        return OrderAnswer::Accepted;
     }
 
-    bool stop(const RunKey &run, std::int64_t fence)
+    OrderAnswer stop(const RunKey &run, std::int64_t fence)
     {
-        if (!up || fence < m_fence)
-            return false;
+        if (!up)
+            return OrderAnswer::Unknown;
+        if (fence < m_fence)
+            return OrderAnswer::Fenced;
         m_fence = fence;
         const auto known = m_active.find(run.task);
         if (known != m_active.end() && known->second.run <= run.number)
             end(run.task, RunOutcome::Stopped);
         m_highestRun[run.task] = std::max(m_highestRun[run.task], run.number);
-        return true;
+        return OrderAnswer::Accepted;
     }
 
     std::optional<MinionListing> renew(std::optional<RunLedger::Lease> lease, std::int64_t fence,
@@ -111,7 +130,7 @@
             return std::nullopt;
         m_fence = fence;
         if (lease)
-            extend(lease->untilMinionMs);
+            extend(lease->untilMinionMs, now);
         while (!m_ends.empty() && m_ends.front().number <= endsSeen) {
             if (m_ends.front().number >= m_lapsedEnds)
                 onEndAcknowledged(m_ends.front().run, m_ends.front().outcome);
@@ -122,14 +141,17 @@
         listing.bornMs = facts.incarnation.bornMs;
         for (const auto &[task, run] : m_active)
             listing.active.push_back({{task, run.run}, "", 50, 0});
-        listing.ends = m_ends;
+        listing.ends.assign(m_ends.begin(), m_ends.begin() + static_cast<std::ptrdiff_t>(std::min(
+                                                                 m_ends.size(), maxListedEnds)));
         return listing;
     }
 
 private:
-    void extend(std::int64_t untilMs)
+    static constexpr std::size_t maxListedEnds = 500;
+
+    void extend(std::int64_t untilMs, BootTime now)
     {
-        m_leaseUntil = std::max(m_leaseUntil, m_startedAt + Milliseconds(untilMs));
+        m_leaseUntilMs = std::max(m_leaseUntilMs, std::min(untilMs, clockMs(now) + longestLeaseMs));
     }
 
     void end(const std::string &task, RunOutcome outcome)
@@ -142,7 +164,8 @@
     }
 
     BootTime m_startedAt{};
-    BootTime m_leaseUntil{};
+    std::int64_t m_slowPercent = 0; // by which the clock runs slow
+    std::int64_t m_leaseUntilMs = 0;
     std::int64_t m_fence = 0;
     std::int64_t m_nextEnd = 1;
     std::int64_t m_lapsedEnds = 0;           // the lease has lapsed after all ends below this
