Restarted minions: calls of the former incarnation no longer take effect on the next one

Callers would see a task run on two minions at once, or again after it was done (TWICE).

Cause: a minion may restart under its id, with its clock, its end numbers and its fencing tokens starting anew. Our calls named it by the id and carried the owner's epoch as the token, so calls that were meant for the former incarnation were carried out by the next one, at once while the agent did not know of the restart, or late: - a renewal with a time on the former clock gave the longest lease, which is longer than the owner assumed, again with each renewal until a check-in arrived (listings of another incarnation were ignored, and the agent kept reporting the runs of the former one as alive); - a start ran a task there that the owner had ended; - lastSeen discarded ends that nobody had read.

Change: - The fencing token orders by incarnation first, then by epoch, composed in fencing_token.cpp. After the first call that is meant for it, an incarnation refuses every call that was meant for a former one. - A listing of a later incarnation is a restart: the ledger drops the state of the former one and calls are meant for the new one at once. Until its check-in arrives it counts as draining, without labels and capacity, so that the owner can end the former runs there by stops, and places nothing. - A minion that does not answer may have restarted: it is sent neither leases nor starts until it has answered a renewal, which then does not wait. - The owner counts with the longest lease, until one such time after the first message that shows an answer of the incarnation, and after a takeover. - An agent reports a lapse only when twice its longest grant has passed since the first listing: before, it reported the adopted runs as absent when a renewal failed before the first grant.

Simulation: calls to minions without an answer that are carried out up to 12 s late, also by the next incarnation; lost answers; lost check-ins. Left out is a start of the former incarnation that reaches the next one before the agent could make a call that is meant for it, see the design notes. Agents give up unanswered starts after 3 s and stop them, as the real ones do.

The stored form and the messages between the programs are unchanged. The test of the token in platform_test compares with the composed value now.

--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -134,6 +134,11 @@
     bool hasBetterMinion(const JobModel &job, const TaskName &name, const TaskState &task,
                          BootTime now);
     void stopMissingRuns(MinionView &view, const ExchangeRequest &request);
+    /// Assumes that calls which were meant for a former incarnation of the minion may have given it
+    /// the longest lease until now.
+    void assumeStrayLease(MinionView &view, BootTime now) const;
+    /// Calls assumeStrayLease() with the first message showing that the incarnation has answered.
+    void noteAnswered(MinionView &view, const ExchangeRequest &request, BootTime now);
     void endLapsedRuns(MinionView &view, const std::string &reason, BootTime now);
     void finishRun(JobModel &job, TaskState &task, const RunEnd &end, BootTime now);
     void recordOutcome(MinionView &view, const JobModel &job, RunOutcome outcome, BootTime now);
--- a/src/include/lavenderarch/dispatch/minion_view.h
+++ b/src/include/lavenderarch/dispatch/minion_view.h
@@ -25,6 +25,9 @@
     MinionFacts facts;
     BootTime lastHeard{};  ///< time of the agent's newest message
     BootTime leaseStart{}; ///< start of the newest lease that may be valid
+    /// Until then a lease may be in force that was meant for a former incarnation of the minion.
+    BootTime strayLeaseUntil{};
+    bool incarnationAnswered = false; ///< the incarnation in `facts` has answered its agent
 
     std::int64_t newestMessage = 0;
     std::int64_t snapshot = 0; ///< newest snapshot of this session and minion; 0: none applied
--- a/src/include/lavenderarch/dispatch/run_ledger.h
+++ b/src/include/lavenderarch/dispatch/run_ledger.h
@@ -70,6 +70,11 @@
 
     /// Applies the minion's listing in reply to a request of `epoch` sent at `sentAt`. A run is
     /// missing only if the request was sent after its start.
+    ///
+    /// A listing of a later incarnation shows that the minion has restarted. From then on calls are
+    /// meant for that incarnation, which counts as draining, without labels and capacity, until its
+    /// registration arrives. The listing itself is not applied: calls that were meant for the
+    /// former incarnation may take effect until one that is meant for this one has been answered.
     void applyListing(const MinionListing &listing, std::int64_t epoch, BootTime sentAt,
                       BootTime now);
     /// The minion did not answer a renewal. Once the lease has expired, all its runs have ended.
@@ -82,8 +87,9 @@
     void stopConfirmed(const RunKey &run, BootTime now);
     void setPace(const RunKey &run, int percent);
 
-    /// The lease to send to the minion now; nullopt when none is in force or the minion's clock is
-    /// not known. The lease is not extended while the minion does not answer.
+    /// The lease to send to the minion now; nullopt when none is in force, the minion's clock is
+    /// not known or the minion does not answer. It may have restarted then, and a time on the clock
+    /// of the former incarnation would give the next one the longest lease.
     std::optional<Lease> lease(BootTime now) const;
     /// True while the run is known and no stop of it has been ordered.
     bool shouldRun(const RunKey &run) const;
@@ -122,6 +128,7 @@
     };
 
     void resetIncarnation();
+    void adoptIncarnation(std::int64_t bornMs);
     void updateHeadroom(BootTime now);
     void addAbsent(const RunKey &run, const std::string &reason);
     ExchangeRequest beginMessage(std::int64_t waitMs);
@@ -149,9 +156,11 @@
     std::map<RunKey, UnconfirmedEnd> m_absent;
     std::int64_t m_endsSeen = 0;
     BootTime m_grantUntil{};
-    std::int64_t m_clockMs = 0; // the minion's clock
-    BootTime m_clockAt{};       // m_clockMs is of this time or earlier; unset: not known
-    Lease m_sentLease;          // newest lease that may have reached the minion
+    Milliseconds m_longestGrant{}; // that the owner has given
+    std::int64_t m_clockMs = 0;    // the minion's clock
+    BootTime m_clockAt{};          // m_clockMs is of this time or earlier; unset: not known
+    Lease m_sentLease;             // newest lease that may have reached the minion
+    BootTime m_firstListed{};      // first listing of the incarnation in this session; unset: none
 };
 
 } // namespace lavenderarch
--- a/src/include/lavenderarch/runtime/agent_loop.h
+++ b/src/include/lavenderarch/runtime/agent_loop.h
@@ -206,6 +206,7 @@
             std::optional<Lease> lease;
             std::int64_t endsSeen = 0;
             std::int64_t endsToDiscard = 0;
+            std::int64_t waitMs = 0;
             bool registered = false;
             const BootTime sentAt = BootClock::now();
             {
@@ -215,6 +216,8 @@
                 lease = m_ledger.lease(sentAt);
                 endsSeen = m_ledger.endsSeen();
                 endsToDiscard = m_ledger.endsToDiscard();
+                // Without an answer no lease is sent, so the next one is to come soon.
+                waitMs = m_ledger.reachable() ? renewWaitMs : 0;
                 if (lease)
                     m_ledger.renewalSent(*lease);
             }
@@ -222,12 +225,12 @@
                 std::this_thread::sleep_for(renewRetryPause);
                 continue;
             }
-            const auto listing = m_minion.renew(context, lease, endsToDiscard, renewWaitMs,
+            const auto listing = m_minion.renew(context, lease, endsToDiscard, waitMs,
                                                 sentAt + Milliseconds(renewWaitMs) + renewSlack);
-            handleListing(context, listing, sentAt);
+            const bool applied = handleListing(context, listing, sentAt);
             if (!listing.ok())
                 std::this_thread::sleep_for(renewRetryPause);
-            else if (!listing->ends.empty())
+            else if (applied && !listing->ends.empty())
                 awaitConfirmation(stop, endsSeen);
         }
     }
@@ -242,14 +245,15 @@
         });
     }
 
-    void handleListing(const ControlContext &context, const StatusOr<MinionListing> &listing,
+    /// True if the listing was applied, false if it failed or another incarnation has answered.
+    bool handleListing(const ControlContext &context, const StatusOr<MinionListing> &listing,
                        BootTime sentAt)
     {
         std::vector<PaceChange> paces;
         {
             const std::scoped_lock lock(m_mutex);
             if (m_ledger.facts().incarnation != context.incarnation)
-                return;
+                return false;
             const bool reachable = m_ledger.reachable();
             if (listing.ok()) {
                 logAnsweringIncarnation(context, *listing);
@@ -262,11 +266,11 @@
                 m_ledger.renewalFailed(BootClock::now());
             }
             if (reachable != m_ledger.reachable()) {
-                if (listing.ok())
+                if (m_ledger.reachable())
                     logEvent(LogLevel::Info, "agent", "minion is reachable",
                              {{"minion", context.incarnation.id},
                               {"bornMs", std::to_string(context.incarnation.bornMs)}});
-                else
+                else if (!listing.ok())
                     logFailure("agent", "minion is unreachable", listing.status(),
                                {{"minion", context.incarnation.id},
                                 {"bornMs", std::to_string(context.incarnation.bornMs)}});
@@ -276,13 +280,19 @@
         }
         for (const PaceChange &change : paces)
             setPace(context, change);
+        return listing.ok() && listedBy(context, *listing);
+    }
+
+    static bool listedBy(const ControlContext &context, const MinionListing &listing)
+    {
+        return listing.bornMs == 0 || listing.bornMs == context.incarnation.bornMs;
     }
 
     /// Requires m_mutex. Logs a listing by another incarnation than the call was meant for, once
     /// for each change of the incarnation that answers.
     void logAnsweringIncarnation(const ControlContext &context, const MinionListing &listing)
     {
-        const bool other = listing.bornMs != 0 && listing.bornMs != context.incarnation.bornMs;
+        const bool other = !listedBy(context, listing);
         const std::int64_t answering = other ? listing.bornMs : 0;
         if (std::exchange(m_otherBornMs, answering) == answering || !other)
             return;
@@ -339,11 +349,13 @@
             ControlContext context;
             std::optional<Lease> lease;
             BootTime startBy{};
+            bool reachable = false;
             {
                 const std::scoped_lock lock(m_mutex);
                 if (!m_ledger.shouldRun(order.run))
                     return;
                 startBy = m_ledger.startBy(order.run);
+                reachable = m_ledger.reachable();
                 context = {m_ledger.facts().incarnation, m_ledger.epoch()};
                 if (!m_ledger.facts().draining)
                     lease = m_ledger.lease(BootClock::now());
@@ -353,7 +365,9 @@
             const BootTime now = BootClock::now();
             const bool late = now >= std::min(began + startTimeout, startBy);
             MinionAnswer answer;
-            if (lease && !late) {
+            if (!reachable && !late) {
+                // It may have restarted: nothing is started before it has answered a renewal.
+            } else if (lease && !late) {
                 answer = m_minion.start(context, order, *lease,
                                         std::min(now + orderAttemptTimeout, startBy));
                 logStart(context, order.run, *lease, answer, began, startBy);
@@ -368,7 +382,7 @@
                 abandonStart(stop, order.run, answer.reason, mayHaveStarted);
                 return;
             }
-            mayHaveStarted = true;
+            mayHaveStarted = mayHaveStarted || reachable;
             std::this_thread::sleep_for(orderRetryPause);
         }
     }
--- a/src/include/lavenderarch/runtime/minion_control.h
+++ b/src/include/lavenderarch/runtime/minion_control.h
@@ -3,6 +3,7 @@
 
 #include "lavenderarch/core/boot_clock.h"
 #include "lavenderarch/core/status.h"
+#include "lavenderarch/dispatch/fencing_token.h"
 #include "lavenderarch/dispatch/minion_answer.h"
 #include "lavenderarch/dispatch/minion_incarnation.h"
 #include "lavenderarch/dispatch/minion_listing.h"
@@ -13,13 +14,14 @@
 
 namespace lavenderarch {
 
-/// Sent with each call: the minion incarnation that it is meant for, and the owner's epoch, which
-/// serves as the fencing token.
+/// Sent with each call: the minion incarnation that it is meant for, and the owner's epoch.
 struct ControlContext
 {
     MinionIncarnation incarnation;
     std::int64_t epoch = 0;
 
+    std::int64_t fencingToken() const { return lavenderarch::fencingToken(incarnation, epoch); }
+
     friend bool operator==(const ControlContext &, const ControlContext &) = default;
 };
 
--- a/src/libdispatch/cell_dispatcher.cpp
+++ b/src/libdispatch/cell_dispatcher.cpp
@@ -99,6 +99,7 @@
             MinionView &view = m_minions[task.agent];
             view.agent = task.agent;
             view.leaseStart = now;
+            assumeStrayLease(view, now);
             task.placedAt = now;
             task.progressAt = now;
             attach(view, job.step(name), {name.text(), task.run});
@@ -121,8 +122,10 @@
 
 void CellDispatcher::assumeLeases(BootTime now)
 {
-    for (auto &[agent, view] : m_minions)
+    for (auto &[agent, view] : m_minions) {
         view.leaseStart = now;
+        assumeStrayLease(view, now);
+    }
 }
 
 void CellDispatcher::loadTailModel(const std::string &text)
--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -1,6 +1,7 @@
 // Handling of agent messages: minion facts, run ends and run reports.
 #include "lavenderarch/dispatch/cell_dispatcher.h"
 
+#include "lapse_time.h"
 #include "placement.h"
 
 #include <algorithm>
@@ -8,10 +9,6 @@
 namespace lavenderarch {
 namespace {
 
-/// A lease counts as lapsed only after its duration times clockDrift plus leaseMargin: the minion's
-/// clock may run 2 % slow, and messages take time.
-constexpr double clockDrift = 1.02;
-constexpr Milliseconds leaseMargin{300};
 /// Time that a start needs from its placement: the commit, the agent's poll and the call of the
 /// minion.
 constexpr Milliseconds minStartTime{500};
@@ -60,6 +57,7 @@
     }
     if (!updateFacts(view, request, now))
         return;
+    noteAnswered(view, request, now);
     processEnds(view, request, now);
     if (request.listed && sameEpoch) {
         view.snapshot = request.number;
@@ -76,6 +74,7 @@
         m_agentsToWake.insert(view.agent);
         return;
     }
+    noteAnswered(view, request, now);
     processEnds(view, request, now);
     for (const RunReport &report : request.runs) {
         if (view.runs.count(report.run) != 0)
@@ -186,62 +185,6 @@
     }
 }
 
-bool CellDispatcher::updateFacts(MinionView &view, const ExchangeRequest &request, BootTime now)
-{
-    if (request.facts.incarnation.bornMs < view.facts.incarnation.bornMs)
-        return false;
-    const bool firstFacts = view.facts.incarnation.id.empty();
-    if (!firstFacts && view.facts.incarnation != request.facts.incarnation) {
-        view.outbox.clear();
-        view.ends.clear();
-        view.endsSeen = 0;
-        view.unexpectedRuns.clear();
-        view.unexpectedStopped.clear();
-        view.failedJobs.clear();
-        view.avoidUntil = {};
-        view.avoidMs = 0;
-    }
-    const bool changed = !view.registered || view.facts != request.facts;
-    if (view.facts.draining != request.facts.draining)
-        recordEvent("minion drain state changed",
-                    {{"agent", view.agent},
-                     {"minion", request.facts.incarnation.id},
-                     {"draining", request.facts.draining ? "yes" : "no"}});
-    view.facts = request.facts;
-    view.registered = true;
-    if (changed)
-        roomGained(view);
-    resolvePreviousIncarnation(view, now);
-    return true;
-}
-
-void CellDispatcher::resolvePreviousIncarnation(MinionView &view, BootTime now)
-{
-    const auto runs = view.runs;
-    for (const RunKey &run : runs) {
-        const auto [job, task] = locate(run.task);
-        if (task == nullptr || task->incarnation == view.facts.incarnation)
-            continue;
-        if (task->incarnation.id != view.facts.incarnation.id) {
-            finishRun(*job, *task, {0, run, RunOutcome::Lapsed, "", "former life"}, now);
-            continue;
-        }
-        // Start orders address the minion by its id only, so one that was never answered may have
-        // reached the new incarnation. A stop ends the run there and makes the minion reject that
-        // run number from then on.
-        recordEvent("minion restarted; stopping the run on its new incarnation",
-                    {{"task", run.task},
-                     {"run", std::to_string(run.number)},
-                     {"agent", view.agent},
-                     {"minion", view.facts.incarnation.id},
-                     {"bornMs", std::to_string(view.facts.incarnation.bornMs)},
-                     {"formerBornMs", std::to_string(task->incarnation.bornMs)}});
-        task->incarnation = view.facts.incarnation;
-        stop(view, run, *task);
-        markDirty(*job);
-    }
-}
-
 void CellDispatcher::processEnds(MinionView &view, const ExchangeRequest &request, BootTime now)
 {
     for (const RunEnd &end : request.ends) {
@@ -466,10 +409,9 @@
 
 void CellDispatcher::tick(BootTime now, std::int64_t timeOfDayMs)
 {
-    const auto lease =
-        Milliseconds(static_cast<std::int64_t>(static_cast<double>(m_limits.leaseMs) * clockDrift));
+    const Milliseconds lapse = lapseTime(m_limits.leaseMs);
     for (auto &[agent, view] : m_minions) {
-        if (!view.runs.empty() && now - view.leaseStart > lease + leaseMargin) {
+        if (!view.runs.empty() && now - view.leaseStart > lapse && now > view.strayLeaseUntil) {
             recordEvent("minion lease lapsed without renewal",
                         {{"agent", agent},
                          {"minion", view.facts.incarnation.id},
--- a/src/libdispatch/dispatch_test.cpp
+++ b/src/libdispatch/dispatch_test.cpp
@@ -1,43 +1,18 @@
 // Tests of the dispatcher and the agent's ledger, in isolation and in a simulated cell with seeded
 // faults.
 #include "simulated_cell.h"
+#include "simulated_seeds.h"
 
 using namespace lavenderarch;
 using lavenderarch::testing::CellFaults;
+using lavenderarch::testing::plainStep;
+using lavenderarch::testing::runSeed;
+using lavenderarch::testing::runWithFaults;
 using lavenderarch::testing::SimulatedCell;
+using lavenderarch::testing::twoSteps;
 
 namespace {
 
-/// Seeds 1 to 12 by default; LAVENDER_SEEDS=FIRST-LAST or LAVENDER_SEEDS=SEED overrides them.
-std::pair<std::uint64_t, std::uint64_t> seedRange()
-{
-    std::pair<std::uint64_t, std::uint64_t> range{1, 12};
-    if (const char *text = std::getenv("LAVENDER_SEEDS")) {
-        char *dash = nullptr;
-        range.first = std::strtoull(text, &dash, 10);
-        range.second = *dash == '-' ? std::strtoull(dash + 1, nullptr, 10) : range.first;
-    }
-    return range;
-}
-
-StepSpec plainStep(int count, std::int64_t milliCores)
-{
-    StepSpec step;
-    step.count = count;
-    step.demand = Resources(milliCores, 200, 0);
-    return step;
-}
-
-JobSpec twoSteps(const std::string &id, int count = 4)
-{
-    JobSpec job;
-    job.id = id;
-    job.attempts = 2;
-    job.steps = {plainStep(count, 800), plainStep(count, 500)};
-    job.steps[1].after = {0};
-    return job;
-}
-
 JobSpec longRunningJob(const std::string &id)
 {
     JobSpec job;
@@ -47,33 +22,6 @@
     return job;
 }
 
-/// Runs jobs under `faults`, then without faults, after which all jobs must have ended: as done, or
-/// with `cancels` also as cancelled.
-void runSeed(std::uint64_t seed, const CellFaults &faults, bool cancels = false)
-{
-    CAPTURE(seed);
-    SimulatedCell cell(seed, 5, faults);
-    for (int job = 0; job < 12; ++job) {
-        cell.submit(twoSteps("job" + std::to_string(job)));
-        cell.advance(Milliseconds(1500));
-    }
-    cell.setFaults({});
-    cell.advance(Milliseconds(40'000));
-    for (int job = 0; job < 12; ++job) {
-        const JobPhase phase = cell.phase("job" + std::to_string(job));
-        const bool ended = phase == JobPhase::Done || (cancels && phase == JobPhase::Cancelled);
-        CHECK_MESSAGE(ended, "job ", job, " did not end");
-    }
-    CHECK(cell.activeRuns() == 0);
-}
-
-void runWithFaults(const CellFaults &faults, bool cancels = false)
-{
-    const auto [first, last] = seedRange();
-    for (std::uint64_t seed = first; seed <= last; ++seed)
-        runSeed(seed, faults, cancels);
-}
-
 } // namespace
 
 TEST_CASE("every task runs exactly once without faults")
--- a/src/libdispatch/run_ledger.cpp
+++ b/src/libdispatch/run_ledger.cpp
@@ -2,6 +2,7 @@
 #include "lavenderarch/dispatch/run_ledger.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 
 namespace lavenderarch {
@@ -44,10 +45,25 @@
     m_endsSeen = 0;
     m_clockAt = {};
     m_sentLease = {};
+    m_firstListed = {};
     m_listedEpoch = -1;
     m_reachable = false;
 }
 
+void RunLedger::adoptIncarnation(std::int64_t bornMs)
+{
+    resetIncarnation();
+    m_facts.incarnation.bornMs = bornMs;
+    // It may be of another kind than the former one, so nothing is known to fit.
+    m_facts.labels.clear();
+    m_facts.capacity = Resources();
+    m_facts.draining = true;
+    m_facts.remainingMs = 0;
+    m_factsSequence = std::numeric_limits<std::int64_t>::min();
+    m_unreportedChanges = true;
+    m_snapshotDue = true;
+}
+
 bool RunLedger::updateFacts(const MinionFacts &facts, std::int64_t sequence)
 {
     const bool sameIncarnation = m_facts.incarnation == facts.incarnation;
@@ -111,6 +127,7 @@
         m_orderSeen = 0;
         m_listedEpoch = -1;
     }
+    m_longestGrant = std::max(m_longestGrant, Milliseconds(reply.grantMs));
     if (reply.grantMs > 0)
         m_grantUntil = std::max(m_grantUntil, sentAt + Milliseconds(reply.grantMs));
     const bool sameIncarnation = reply.incarnation == m_facts.incarnation;
@@ -161,8 +178,13 @@
 void RunLedger::applyListing(const MinionListing &listing, std::int64_t epoch, BootTime sentAt,
                              BootTime now)
 {
-    if (listing.bornMs != 0 && listing.bornMs != m_facts.incarnation.bornMs)
+    if (listing.bornMs != 0 && listing.bornMs != m_facts.incarnation.bornMs) {
+        if (m_registered && listing.bornMs > m_facts.incarnation.bornMs)
+            adoptIncarnation(listing.bornMs);
         return;
+    }
+    if (m_firstListed == BootTime{})
+        m_firstListed = now;
     m_unreportedChanges = m_unreportedChanges || !m_reachable;
     m_reachable = true;
     m_clockMs = listing.clockMs;
@@ -238,6 +260,12 @@
     const auto drift = (m_sentLease.until - m_clockAt) * maxClockDriftPercent / 100;
     if (m_runs.empty() || now <= m_sentLease.until + drift + expiryMargin)
         return;
+    // A lease of a former session, or one that was meant for the former incarnation and so is the
+    // longest there is, may have reached the minion shortly before the first listing. The longest
+    // lease is less than twice a grant, also on a slow clock.
+    if (m_firstListed == BootTime{} || m_longestGrant == Milliseconds(0) ||
+        now <= m_firstListed + 2 * m_longestGrant)
+        return;
     const std::string reason = "the minion is silent and its lease has lapsed (bornMs " +
                                std::to_string(m_facts.incarnation.bornMs) + ", until " +
                                std::to_string(m_sentLease.untilMinionMs) + " on its clock, " +
@@ -281,10 +309,8 @@
 
 std::optional<RunLedger::Lease> RunLedger::lease(BootTime now) const
 {
-    if (now >= m_grantUntil || m_clockAt == BootTime{})
+    if (now >= m_grantUntil || m_clockAt == BootTime{} || !m_reachable)
         return std::nullopt;
-    if (!m_reachable && m_sentLease.untilMinionMs > 0)
-        return m_sentLease;
     return Lease{m_grantUntil, m_clockMs + (m_grantUntil - m_clockAt).count()};
 }
 
--- a/src/libdispatch/simulated_agent.h
+++ b/src/libdispatch/simulated_agent.h
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <memory>
+#include <set>
 
 namespace lavenderarch::testing {
 
@@ -25,25 +26,26 @@
     SimulatedMinion minion;
     std::unique_ptr<RunLedger> ledger;
     std::deque<RunOrder> orders;
+    std::set<RunKey> unansweredStarts; // starts that may still be carried out
+    std::int64_t answeredBornMs = 0;   // incarnation that answered the last answered renewal
+    /// The minion's incarnation has carried out a call that the agent made knowing it.
+    bool mayBeFenced = false;
     std::optional<LateReply> lateReply; // no request is sent before it arrives
     BootTime partitionedUntil{};
     BootTime nextPoll{};
     BootTime nextCheckIn{};
+    BootTime checkInsLostUntil{};
     BootTime nextRenewal{};
     std::optional<BootTime> endsAt; // when the agent's process ends permanently
     BootTime restartAt{};           // when a crashed minion starts a new incarnation
     std::int64_t sequence = 0;
-};
 
-/// A start order that its agent executes late.
-struct DelayedStart
-{
-    BootTime at{};
-    SimulatedAgent *agent = nullptr;
-    MinionIncarnation incarnation;
-    RunOrder order;
-    std::int64_t fence = 0;
-    std::int64_t untilMs = 0;
+    /// True while a start waits until the minion answers a renewal. It is given up after 3 s.
+    bool awaitsAnswer(const RunKey &run, BootTime now) const
+    {
+        return !ledger->reachable() && now < ledger->startBy(run) &&
+               now < ledger->runs().at(run).since + Milliseconds(3000);
+    }
 };
 
 } // namespace lavenderarch::testing
--- a/src/libdispatch/simulated_cell.h
+++ b/src/libdispatch/simulated_cell.h
@@ -8,6 +8,7 @@
 #include "lavenderarch/dispatch/ownership_watch.h"
 #include "lavenderarch/dispatch/queue_catalog.h"
 #include "simulated_agent.h"
+#include "simulated_calls.h"
 
 #include <cstdlib>
 #include <doctest/doctest.h>
@@ -183,12 +184,7 @@
     void advanceStep()
     {
         injectFaults();
-        for (const DelayedStart &delayed : std::exchange(m_delayedStarts, {})) {
-            if (delayed.at > m_now)
-                m_delayedStarts.push_back(delayed);
-            else if (delayed.agent->minion.facts.incarnation == delayed.incarnation)
-                startAt(*delayed.agent, delayed.order, delayed.fence, delayed.untilMs);
-        }
+        m_calls.advance(m_now);
         for (const auto &agent : m_agents)
             advanceAgent(*agent);
         advanceOwner();
@@ -209,11 +205,14 @@
                 agent->ledger =
                     std::make_unique<RunLedger>(agent->name, "s" + std::to_string(++m_sessions));
                 agent->orders.clear();
+                agent->unansweredStarts.clear();
                 agent->nextCheckIn = m_now + randomDuration(100, 1100);
                 traceRun("agent restarts", {agent->name, 0});
             }
             if (chance(m_faults.agentPartition))
                 agent->partitionedUntil = m_now + randomDuration(3000, 12'000);
+            if (chance(m_faults.lostCheckIns))
+                agent->checkInsLostUntil = m_now + randomDuration(3000, 20'000);
             if (agent->minion.up && chance(m_faults.minionCrash)) {
                 traceRun("minion crashes", {agent->name, 0});
                 agent->minion.crash();
@@ -222,6 +221,7 @@
             if (!agent->minion.up && m_now >= agent->restartAt) {
                 agent->minion.begin(agent->minion.facts.incarnation.id, m_now);
                 agent->sequence = 0;
+                agent->mayBeFenced = false;
                 agent->nextCheckIn = m_now + randomDuration(0, 1100);
             }
         }
@@ -241,7 +241,9 @@
             return;
         if (agent.minion.up && agent.nextCheckIn <= m_now) {
             agent.nextCheckIn = m_now + Milliseconds(1100);
-            agent.ledger->updateFacts(agent.minion.facts, ++agent.sequence);
+            ++agent.sequence;
+            if (agent.checkInsLostUntil <= m_now)
+                agent.ledger->updateFacts(agent.minion.facts, agent.sequence);
         }
         if (agent.lateReply && agent.lateReply->at <= m_now) {
             applyReply(agent, *agent.lateReply);
@@ -259,17 +261,7 @@
         if (agent.nextRenewal > m_now)
             return;
         agent.nextRenewal = m_now + Milliseconds(100);
-        if (!agent.ledger->registered())
-            return; // the id of the minion is not known
-        const auto lease = agent.ledger->lease(m_now);
-        if (lease)
-            agent.ledger->renewalSent(*lease);
-        const auto listing =
-            agent.minion.renew(lease, agent.ledger->epoch(), agent.ledger->endsToDiscard(), m_now);
-        if (listing)
-            agent.ledger->applyListing(*listing, agent.ledger->epoch(), m_now, m_now);
-        else
-            agent.ledger->renewalFailed(m_now);
+        m_calls.renew(agent, m_now);
     }
 
     void applyReply(Agent &agent, const LateReply &late)
@@ -305,11 +297,16 @@
 
     void executeOrder(Agent &agent, const RunOrder &order)
     {
-        const std::int64_t fence = agent.ledger->epoch();
+        const std::int64_t fence =
+            fencingToken(agent.ledger->facts().incarnation, agent.ledger->epoch());
         if (order.kind == OrderKind::Stop) {
             if (agent.ledger->runs().count(order.run) == 0)
                 return;
-            if (agent.minion.stop(order.run, fence) == OrderAnswer::Accepted)
+            const auto stop = [&agent, run = order.run, fence](BootTime) {
+                return agent.minion.stop(run, fence);
+            };
+            if (m_calls.order(agent, SimulatedCalls::Reach::Id, stop, m_now) ==
+                OrderAnswer::Accepted)
                 agent.ledger->stopConfirmed(order.run, m_now);
             else
                 agent.orders.push_back(order);
@@ -320,24 +317,30 @@
         const auto lease = agent.ledger->lease(m_now);
         if (!agent.ledger->shouldRun(order.run))
             return;
+        if (agent.awaitsAnswer(order.run, m_now))
+            return agent.orders.push_back(order);
         if (!lease || m_now >= agent.ledger->startBy(order.run)) {
-            agent.ledger->startRefused(order.run, "no lease or too late");
+            SimulatedCalls::abandonStart(agent, order, "no lease or too late");
             return;
         }
         agent.ledger->renewalSent(*lease);
+        const auto start = [this, &agent, order, fence, until = lease->untilMinionMs](BootTime) {
+            return startAt(agent, order, fence, until);
+        };
+        using Reach = SimulatedCalls::Reach;
         if (chance(m_faults.delayedOrder)) {
-            m_delayedStarts.push_back({m_now + randomDuration(200, 9000), &agent,
-                                       agent.minion.facts.incarnation, order, fence,
-                                       lease->untilMinionMs});
+            m_calls.addLate(agent, Reach::Incarnation, start, m_now + randomDuration(200, 9000));
             return; // without an answer to the start, the ledger keeps the run as starting
         }
-        const OrderAnswer answer = startAt(agent, order, fence, lease->untilMinionMs);
-        if (answer == OrderAnswer::Accepted || answer == OrderAnswer::Ended)
+        const OrderAnswer answer = m_calls.order(agent, Reach::Known, start, m_now);
+        if (answer == OrderAnswer::Accepted || answer == OrderAnswer::Ended) {
             agent.ledger->startConfirmed(order.run, m_now);
-        else if (answer == OrderAnswer::Unknown)
+        } else if (answer == OrderAnswer::Unknown) {
+            agent.unansweredStarts.insert(order.run);
             agent.orders.push_back(order); // retried, possibly on the next incarnation
-        else
-            agent.ledger->startRefused(order.run, std::string(answerName(answer)));
+        } else {
+            SimulatedCalls::abandonStart(agent, order, std::string(answerName(answer)));
+        }
     }
 
     OrderAnswer startAt(Agent &agent, const RunOrder &order, std::int64_t fence,
@@ -416,7 +419,7 @@
         }
         const auto cancelled = m_cancelledAt.find(name->job);
         if (cancelled != m_cancelledAt.end() && agent.partitionedUntil <= m_now && m_owner &&
-            m_faults.delayedOrder == 0 && m_faults.ownerCrash == 0)
+            m_faults.delayedOrder == 0 && m_faults.ownerCrash == 0 && !m_calls.carryingOutLate())
             CHECK_MESSAGE(m_now - cancelled->second < Milliseconds(3000),
                           "task started after its job was cancelled: ", run.task);
     }
@@ -469,6 +472,7 @@
 
     RandomEngine m_random;
     CellFaults m_faults;
+    SimulatedCalls m_calls{m_random, m_faults};
     BootTime m_now;
     std::shared_ptr<const QueueCatalog> m_catalog;
     std::map<RowKey, Row> m_rows;
@@ -482,7 +486,6 @@
     std::vector<RowKey> m_unheard; // changed inbox rows that the owner has not applied
     BootTime m_inboxStaleUntil{};  // when the owner's view of the inbox is current again
     std::vector<std::unique_ptr<Agent>> m_agents;
-    std::vector<DelayedStart> m_delayedStarts;
     std::map<std::string, JobSpec> m_specs;
     std::map<std::string, BootTime> m_cancelledAt;
     std::set<RunKey> m_running;
