--- a/src/libdispatch/restart_test.cpp
+++ b/src/libdispatch/restart_test.cpp
@@ -8,6 +8,7 @@
 
 using namespace lavenderarch;
 using lavenderarch::testing::CellFaults;
+using lavenderarch::testing::runSeed;
 using lavenderarch::testing::runWithFaults;
 using lavenderarch::testing::SimulatedMinion;
 using lavenderarch::testing::twoSteps;
@@ -229,18 +230,25 @@
 {
     runWithFaults({.minionCrash = 500, .lateCall = 20, .lostAnswer = 20});
 }
+const CellFaults restartFaults{.ownerCrash = 500,
+                               .agentRestart = 600,
+                               .minionCrash = 700,
+                               .agentPartition = 900,
+                               .lostCommit = 8,
+                               .lostMessage = 10,
+                               .lateMessage = 10,
+                               .lateCall = 30,
+                               .lostAnswer = 30,
+                               .lostCheckIns = 600,
+                               .cancel = 200};
+
 TEST_CASE("jobs complete while minions restart, calls are late and check-ins are lost")
 {
-    runWithFaults({.ownerCrash = 500,
-                   .agentRestart = 600,
-                   .minionCrash = 700,
-                   .agentPartition = 900,
-                   .lostCommit = 8,
-                   .lostMessage = 10,
-                   .lateMessage = 10,
-                   .lateCall = 30,
-                   .lostAnswer = 30,
-                   .lostCheckIns = 600,
-                   .cancel = 200},
-                  true);
+    runWithFaults(restartFaults, true);
+}
+TEST_CASE("jobs complete while minions restart, calls are late and check-ins are lost: regression")
+{
+    // A new session of an agent without a grant reported the runs that it had adopted as absent
+    // when a renewal was not answered, so that they ran twice.
+    runSeed(42, restartFaults, true);
 }
