--- a/src/include/lavenderarch/dispatch/run_ledger.h
+++ b/src/include/lavenderarch/dispatch/run_ledger.h
@@ -58,9 +58,12 @@
         std::int64_t untilMinionMs = 0; ///< the same time on the minion's clock
     };
 
-    /// Former sessions of the agent may have sent leases that end by `formerLeaseEnd` (see
-    /// latestLeaseEnd()). By default that is not known.
-    RunLedger(std::string agent, std::string session, BootTime formerLeaseEnd = BootTime::max());
+    /// It is not known which leases former sessions of the agent have sent, so that no run of a
+    /// silent minion is reported as absent.
+    RunLedger(std::string agent, std::string session);
+    /// Former sessions may have sent leases of at most `longestLease` until `startedAt`.
+    RunLedger(std::string agent, std::string session, Milliseconds longestLease,
+              BootTime startedAt);
 
     /// When a lease until `until` has certainly lapsed on a minion whose clock was read at
     /// `clockAt` or before.
@@ -84,6 +87,11 @@
 
     /// Applies the minion's listing in reply to a request of `epoch` sent at `sentAt`. A run is
     /// missing only if the request was sent after its start.
+    ///
+    /// A listing of a later incarnation shows that the minion has restarted. From then on calls are
+    /// meant for that incarnation, which counts as draining, without labels and capacity, until its
+    /// registration arrives. The listing itself is not applied: calls that were meant for the
+    /// former incarnation may take effect until one that is meant for this one has been answered.
     void applyListing(const MinionListing &listing, std::int64_t epoch, BootTime sentAt,
                       BootTime now);
     /// The minion did not answer a renewal, or accepted no connection. Once it has left, or once
@@ -143,6 +151,7 @@
     };
 
     void resetIncarnation();
+    void adoptIncarnation(std::int64_t bornMs);
     void updateHeadroom(BootTime now);
     bool hasUnconfirmedEnd(const RunKey &run) const;
     void addAbsent(const RunKey &run, const std::string &reason);
@@ -172,10 +181,12 @@
     std::map<RunKey, UnconfirmedEnd> m_absent;
     std::int64_t m_endsSeen = 0;
     BootTime m_grantUntil{};
-    std::int64_t m_clockMs = 0; // the minion's clock
-    BootTime m_clockAt{};       // m_clockMs is of this time or earlier; unset: not known
-    Lease m_sentLease;          // newest lease of this session that may have reached the minion
-    BootTime m_leaseEnd;        // every lease of this and former sessions has lapsed from then on
+    std::int64_t m_clockMs = 0;    // the minion's clock
+    BootTime m_clockAt{};          // m_clockMs is of this time or earlier; unset: not known
+    Lease m_sentLease;             // newest lease of this session that may have reached the minion
+    Milliseconds m_longestLease{}; // that a minion keeps; 0: not known
+    BootTime m_leaseEnd = BootTime::max(); // each lease that may have reached the minion has lapsed
+    bool m_incarnationListed = false;      // the incarnation has answered a renewal
 };
 
 } // namespace lavenderarch
--- a/src/include/lavenderarch/runtime/agent_loop.h
+++ b/src/include/lavenderarch/runtime/agent_loop.h
@@ -1,14 +1,15 @@
 // The agent's threads: reports to the cell's owner, lease renewals and orders to the minion.
 #pragma once
 
-#include "lavenderarch/dispatch/cell_tables.h"
 #include "lavenderarch/dispatch/minion_registration.h"
-#include "lavenderarch/dispatch/owner_record.h"
 #include "lavenderarch/dispatch/pace_controller.h"
 #include "lavenderarch/dispatch/run_ledger.h"
+#include "lavenderarch/runtime/agent_events.h"
 #include "lavenderarch/runtime/agent_times.h"
 #include "lavenderarch/runtime/exchange_channel.h"
+#include "lavenderarch/runtime/incarnation_query.h"
 #include "lavenderarch/runtime/minion_control.h"
+#include "lavenderarch/runtime/owner_lookup.h"
 #include "lavenderarch/storage/row_store.h"
 #include "lavenderarch/telemetry/invalid_entries.h"
 #include "lavenderarch/telemetry/log.h"
@@ -38,8 +39,7 @@
         , m_cell(std::move(cell))
         , m_invalidCheckIns(metrics, "unconfirmed check-in")
         , m_invalidRows(metrics, "listing")
-        , m_ledger(std::move(agent), std::move(session),
-                   RunLedger::latestLeaseEnd(BootClock::now(), BootClock::now() + longestLease))
+        , m_ledger(std::move(agent), std::move(session), longestLease, BootClock::now())
     {
         m_threads.emplace_back([this](const std::stop_token &stop) { poll(stop); });
         m_threads.emplace_back([this](const std::stop_token &stop) { report(stop); });
@@ -74,7 +74,10 @@
     void minionLeft(const std::string &id)
     {
         const std::scoped_lock lock(m_mutex);
-        logEvent(LogLevel::Info, "agent", "minion deregistered", {{"minion", id}});
+        logEvent(LogLevel::Info, "agent", "minion deregistered",
+                 {{"minion", id},
+                  {"registered", m_ledger.facts().incarnation.id},
+                  {"registeredBornMs", std::to_string(m_ledger.facts().incarnation.bornMs)}});
         m_ledger.minionLeft(id);
         m_reportNeeded.notify_one();
     }
@@ -96,42 +99,47 @@
             m_factsAt = now;
         if (updated &&
             (previous.incarnation != facts.incarnation || previous.draining != facts.draining))
-            logEvent(LogLevel::Info, "agent", "minion registered",
-                     {{"minion", facts.incarnation.id},
-                      {"bornMs", std::to_string(facts.incarnation.bornMs)},
-                      {"draining", facts.draining ? "yes" : "no"},
-                      {"sequence", std::to_string(sequence)}});
+            logRegistered(previous.incarnation, facts, sequence);
         m_reportNeeded.notify_one();
     }
 
-    /// Asks the minion which of the incarnations that have checked in it is.
+    /// Asks the minion which of the incarnations that have checked in it is. One with the id of the
+    /// registered incarnation is confirmed by the renewals instead.
     void confirmRegistration()
     {
         std::vector<MinionIncarnation> unconfirmed;
+        std::string registered;
         std::int64_t epoch = 0;
         {
             const std::scoped_lock lock(m_mutex);
             unconfirmed = m_registration.unconfirmed(BootClock::now());
+            registered = m_ledger.registered() ? m_ledger.facts().incarnation.id : "";
             epoch = m_ledger.epoch();
         }
         for (const MinionIncarnation &incarnation : unconfirmed) {
-            const auto listing = m_minion.renew({incarnation, epoch}, std::nullopt, 0, 0,
-                                                BootClock::now() + orderAttemptTimeout);
+            if (incarnation.id == registered)
+                continue;
+            const auto listing = askForIncarnation(m_minion, incarnation, epoch);
             const std::scoped_lock lock(m_mutex);
-            const auto confirmed =
-                listing.ok() ? m_registration.confirm(incarnation, *listing) : std::nullopt;
-            if (confirmed)
-                updateFacts(confirmed->facts, confirmed->sequence, BootClock::now());
-            else if (listing.ok() || kindOf(listing.status()) == ErrorKind::StaleCommand)
-                m_invalidCheckIns.add(
-                    listing.ok()
-                        ? makeError(ErrorKind::StaleCommand,
-                                    "the minion was born at " + std::to_string(listing->bornMs))
-                        : listing.status(),
-                    incarnation.id + " born at " + std::to_string(incarnation.bornMs));
+            if (listing.ok())
+                confirm(incarnation, *listing);
+            else if (kindOf(listing.status()) == ErrorKind::StaleCommand)
+                m_invalidCheckIns.add(listing.status(), incarnation.id);
         }
     }
 
+    /// Requires m_mutex. The minion has answered a call that named the id of `incarnation`.
+    void confirm(const MinionIncarnation &incarnation, const MinionListing &listing)
+    {
+        if (const auto checkIn = m_registration.confirm(incarnation, listing))
+            updateFacts(checkIn->facts, checkIn->sequence, BootClock::now());
+        else if (listing.bornMs != 0 && listing.bornMs != incarnation.bornMs)
+            m_invalidCheckIns.add(
+                makeError(ErrorKind::StaleCommand,
+                          "the minion was born at " + std::to_string(listing.bornMs)),
+                incarnation.id + " born at " + std::to_string(incarnation.bornMs));
+    }
+
     void poll(const std::stop_token &stop)
     {
         while (!stop.stop_requested()) {
@@ -202,19 +210,11 @@
 
     void findOwner()
     {
-        const auto row =
-            m_store.readOne(cells::ownerRowKey(m_cell), BootClock::now() + lookupTimeout);
-        if (row.ok() && row->version != 0) {
-            const auto record = parseAs<OwnerRecord>(row->value, "owner row");
-            const auto address =
-                record.ok() ? Address::parse(record->address) : StatusOr<Address>(record.status());
-            if (address.ok() && !record->released) {
-                const std::scoped_lock lock(m_mutex);
-                const bool changed = m_owner != *address;
-                m_owner = *address;
-                if (changed)
-                    return;
-            }
+        if (const auto address =
+                readOwnerAddress(m_store, m_cell, BootClock::now() + lookupTimeout)) {
+            const std::scoped_lock lock(m_mutex);
+            if (std::exchange(m_owner, address) != address)
+                return;
         }
         std::this_thread::sleep_for(lookupPause);
     }
@@ -227,6 +227,8 @@
             std::optional<Lease> lease;
             std::int64_t endsSeen = 0;
             std::int64_t endsToDiscard = 0;
+            std::int64_t waitMs = 0;
+            Milliseconds timeout = orderAttemptTimeout;
             bool registered = false;
             const BootTime sentAt = BootClock::now();
             {
@@ -236,6 +238,11 @@
                 lease = m_ledger.lease(sentAt);
                 endsSeen = m_ledger.endsSeen();
                 endsToDiscard = m_ledger.endsToDiscard();
+                // Nothing is started and no lease extended before it answers, so it need not wait.
+                if (m_ledger.reachable()) {
+                    waitMs = renewWaitMs;
+                    timeout = Milliseconds(renewWaitMs) + renewSlack;
+                }
                 if (lease)
                     m_ledger.renewalSent(*lease);
             }
@@ -243,12 +250,12 @@
                 std::this_thread::sleep_for(renewRetryPause);
                 continue;
             }
-            const auto listing = m_minion.renew(context, lease, endsToDiscard, renewWaitMs,
-                                                sentAt + Milliseconds(renewWaitMs) + renewSlack);
-            handleListing(context, listing, sentAt);
+            const auto listing =
+                m_minion.renew(context, lease, endsToDiscard, waitMs, sentAt + timeout);
+            const bool applied = handleListing(context, listing, sentAt);
             if (!listing.ok())
                 std::this_thread::sleep_for(renewRetryPause);
-            else if (!listing->ends.empty() || listing->unreadableRows > 0)
+            else if (applied && (!listing->ends.empty() || listing->unreadableRows > 0))
                 awaitConfirmation(stop, endsSeen);
         }
     }
@@ -263,14 +270,15 @@
         });
     }
 
-    void handleListing(const ControlContext &context, const StatusOr<MinionListing> &listing,
+    /// True if the listing was applied, false if it failed or another incarnation has answered.
+    bool handleListing(const ControlContext &context, const StatusOr<MinionListing> &listing,
                        BootTime sentAt)
     {
         std::vector<PaceChange> paces;
         {
             const std::scoped_lock lock(m_mutex);
             if (m_ledger.facts().incarnation != context.incarnation)
-                return;
+                return false;
             const bool reachable = m_ledger.reachable();
             if (listing.ok()) {
                 if (listing->unreadableRows > 0)
@@ -278,42 +286,42 @@
                                                 "rows that name no run: " +
                                                     std::to_string(listing->unreadableRows)),
                                       context.incarnation.id);
+                logAnsweringIncarnation(context, *listing);
                 m_ledger.applyListing(*listing, context.epoch, sentAt, BootClock::now());
+                if (!listedBy(context, *listing))
+                    confirm({context.incarnation.id, listing->bornMs}, *listing);
                 if (BootClock::now() >= m_nextPace) {
                     paces = decidePaces(m_ledger, BootClock::now());
                     m_nextPace = BootClock::now() + paceInterval;
                 }
             } else {
-                logAbsent(m_ledger.renewalFailed(BootClock::now(), kindOf(listing.status()) ==
-                                                                       ErrorKind::Unreachable),
-                          context.incarnation);
-            }
-            if (reachable != m_ledger.reachable()) {
-                if (listing.ok())
-                    logEvent(LogLevel::Info, "agent", "minion is reachable",
-                             {{"minion", context.incarnation.id}});
-                else
-                    logFailure("agent", "minion is unreachable", listing.status(),
-                               {{"minion", context.incarnation.id}});
+                logAbsent(m_ledger,
+                          m_ledger.renewalFailed(BootClock::now(), kindOf(listing.status()) ==
+                                                                       ErrorKind::Unreachable));
             }
+            if (reachable != m_ledger.reachable())
+                logReachability(context.incarnation, listing.status());
             if (m_ledger.hasUnreportedChanges())
                 m_reportNeeded.notify_one();
         }
         for (const PaceChange &change : paces)
             setPace(context, change);
+        return listing.ok() && listedBy(context, *listing);
     }
 
-    /// Requires m_mutex.
-    void logAbsent(const std::vector<RunKey> &runs, const MinionIncarnation &incarnation) const
+    static bool listedBy(const ControlContext &context, const MinionListing &listing)
+    {
+        return listing.bornMs == 0 || listing.bornMs == context.incarnation.bornMs;
+    }
+
+    /// Requires m_mutex. Logs a listing by another incarnation than the call was meant for, once
+    /// for each change of the incarnation that answers.
+    void logAnsweringIncarnation(const ControlContext &context, const MinionListing &listing)
     {
-        const auto lapsedFor = BootClock::now() - m_ledger.leaseEnd();
-        for (const RunKey &run : runs)
-            logEvent(LogLevel::Warning, "agent", "run given up: the minion does not answer",
-                     {{"task", run.task},
-                      {"run", std::to_string(run.number)},
-                      {"minion", incarnation.id},
-                      {"deregistered", m_ledger.deregistered() ? "yes" : "no"},
-                      {"allLeasesLapsedMsAgo", std::to_string(lapsedFor.count())}});
+        const bool other = !listedBy(context, listing);
+        const std::int64_t answering = other ? listing.bornMs : 0;
+        if (std::exchange(m_otherBornMs, answering) != answering && other)
+            logOtherIncarnation(context.incarnation, listing);
     }
 
     void setPace(const ControlContext &context, const PaceChange &change)
@@ -385,12 +393,12 @@
                     std::this_thread::sleep_for(orderRetryPause);
                     continue;
                 }
-                logWithheld(order.run, decision);
+                logStartWithheld(m_metrics, order.run, decision);
                 answer = {OrderAnswer::Refused, decision.reason, 0};
             } else if (lease && !late) {
                 answer = m_minion.start(context, order, *lease,
                                         std::min(now + orderAttemptTimeout, startBy));
-                logStart(order.run, answer, began, startBy, decision);
+                logStart(m_metrics, {context, order.run, *lease, decision, began, startBy}, answer);
             } else {
                 answer = {OrderAnswer::Refused, late ? "not started in time" : "no lease", 0};
             }
@@ -450,11 +458,7 @@
             }
             const MinionAnswer answer =
                 m_minion.stop(context, run, BootClock::now() + orderAttemptTimeout);
-            logEvent(LogLevel::Info, "agent", "stop sent to the minion",
-                     {{"task", run.task},
-                      {"run", std::to_string(run.number)},
-                      {"answer", std::string(answerName(answer.answer))},
-                      {"reason", answer.reason}});
+            logStop(context, run, answer);
             if (answer.answer == OrderAnswer::Accepted || answer.answer == OrderAnswer::Ended) {
                 const std::scoped_lock lock(m_mutex);
                 m_ledger.stopConfirmed(run, BootClock::now());
@@ -464,43 +468,6 @@
         }
     }
 
-    /// Logs a start that is not sent to the minion.
-    void logWithheld(const RunKey &run, const StartDecision &decision)
-    {
-        const bool noRoom = decision.verdict == Verdict::Refuse;
-        m_metrics.increment("lavender_starts_withheld_total",
-                            {{"reason", noRoom ? "room" : "unreachable"}});
-        logEvent(LogLevel::Warning, "agent", "start withheld from the minion",
-                 {{"task", run.task},
-                  {"run", std::to_string(run.number)},
-                  {"reason", decision.reason},
-                  {"minion", decision.incarnation.id},
-                  {"bornMs", std::to_string(decision.incarnation.bornMs)},
-                  {"capacity", decision.capacity.text()},
-                  {"committed", decision.committed.text()},
-                  {"demand", decision.demand.text()}});
-    }
-
-    void logStart(const RunKey &run, const MinionAnswer &answer, BootTime began, BootTime startBy,
-                  const StartDecision &decision)
-    {
-        const BootTime now = BootClock::now();
-        m_metrics.increment("lavender_starts_total",
-                            {{"answer", std::string(answerName(answer.answer))}});
-        logEvent(
-            LogLevel::Info, "agent", "start sent to the minion",
-            {{"task", run.task},
-             {"run", std::to_string(run.number)},
-             {"answer", std::string(answerName(answer.answer))},
-             {"reason", answer.reason},
-             {"capacity", decision.capacity.text()},
-             {"committed", decision.committed.text()},
-             {"demand", decision.demand.text()},
-             {"sinceOrderMs", std::to_string((now - began).count())},
-             {"startTimeLeftMs",
-              startBy == BootTime::max() ? "unlimited" : std::to_string((startBy - now).count())}});
-    }
-
     Store &m_store;
     Minion &m_minion;
     ExchangeChannel &m_channel;
@@ -516,6 +483,7 @@
     RunLedger m_ledger;                  // guarded by m_mutex
     BootTime m_factsAt{};                // of the newest check-in in m_ledger; guarded by m_mutex
     BootTime m_nextPace{};               // used by the renewal thread only
+    std::int64_t m_otherBornMs = 0;      // of another incarnation that answers; guarded by m_mutex
     std::deque<RunOrder> m_orders;       // guarded by m_mutex
     std::optional<Address> m_owner;      // guarded by m_mutex
     bool m_connected = false;            // guarded by m_mutex
--- a/src/libdispatch/cell_dispatcher.cpp
+++ b/src/libdispatch/cell_dispatcher.cpp
@@ -100,6 +100,7 @@
                 return;
             MinionView &view = m_minions[task.agent];
             view.agent = task.agent;
+            assumeStrayLease(view, now);
             task.placedAt = now;
             task.progressAt = now;
             attach(view, job.step(name), {name.text(), task.run});
--- a/src/libdispatch/cell_dispatcher_leases.cpp
+++ b/src/libdispatch/cell_dispatcher_leases.cpp
@@ -2,20 +2,12 @@
 #include "lavenderarch/core/invariant.h"
 #include "lavenderarch/dispatch/cell_dispatcher.h"
 
+#include "lapse_time.h"
 #include "placement.h"
 
 #include <algorithm>
 
 namespace lavenderarch {
-namespace {
-
-/// A lease counts as lapsed only after its duration times clockDrift plus leaseMargin: the minion's
-/// clock may run 2 % slow, and messages take time.
-constexpr double clockDrift = 1.02;
-constexpr Milliseconds leaseMargin{300};
-
-} // namespace
-
 ExchangeReply CellDispatcher::reply(const ExchangeRequest &request, BootTime arrived, bool mayGrant)
 {
     // A message of another session has arrived meanwhile, which the grant and the orders are for.
@@ -60,18 +52,21 @@
 void CellDispatcher::assumeLeases(BootTime now)
 {
     m_assumedLeaseStart = std::max(m_assumedLeaseStart, now);
+    for (auto &[agent, view] : m_minions)
+        assumeStrayLease(view, now);
 }
 
 void CellDispatcher::endLapsedLeases(BootTime now)
 {
-    const auto lease =
-        Milliseconds(static_cast<std::int64_t>(static_cast<double>(m_limits.leaseMs) * clockDrift));
+    const Milliseconds lapse = lapseTime(m_limits.leaseMs);
     for (auto &[agent, view] : m_minions) {
         const BootTime leaseStart = std::max(view.leaseStart, m_assumedLeaseStart);
-        if (view.runs.empty() || now - leaseStart <= lease + leaseMargin)
+        if (view.runs.empty() || now - leaseStart <= lapse || now <= view.strayLeaseUntil)
             continue;
         recordEvent("minion lease lapsed without renewal",
                     {{"agent", agent},
+                     {"minion", view.facts.incarnation.id},
+                     {"bornMs", std::to_string(view.facts.incarnation.bornMs)},
                      {"countedFrom", view.leaseStart == leaseStart ? "own grant" : "takeover"},
                      {"leaseAgeMs", std::to_string((now - leaseStart).count())},
                      {"heardMsAgo", std::to_string((now - view.lastHeard).count())}});
--- a/src/libdispatch/run_ledger.cpp
+++ b/src/libdispatch/run_ledger.cpp
@@ -2,6 +2,7 @@
 #include "lavenderarch/dispatch/run_ledger.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 
 namespace lavenderarch {
@@ -20,10 +21,18 @@
 
 } // namespace
 
-RunLedger::RunLedger(std::string agent, std::string session, BootTime formerLeaseEnd)
+RunLedger::RunLedger(std::string agent, std::string session)
     : m_agent(std::move(agent))
     , m_session(std::move(session))
-    , m_leaseEnd(formerLeaseEnd)
+{
+}
+
+RunLedger::RunLedger(std::string agent, std::string session, Milliseconds longestLease,
+                     BootTime startedAt)
+    : m_agent(std::move(agent))
+    , m_session(std::move(session))
+    , m_longestLease(longestLease)
+    , m_leaseEnd(latestLeaseEnd(startedAt, startedAt + longestLease))
 {
 }
 
@@ -51,10 +60,25 @@
     m_endsSeen = 0;
     m_clockAt = {};
     m_sentLease = {};
+    m_incarnationListed = false;
     m_listedEpoch = -1;
     m_reachable = false;
 }
 
+void RunLedger::adoptIncarnation(std::int64_t bornMs)
+{
+    resetIncarnation();
+    m_facts.incarnation.bornMs = bornMs;
+    // It may be of another kind than the former one, so nothing is known to fit.
+    m_facts.labels.clear();
+    m_facts.capacity = Resources();
+    m_facts.draining = true;
+    m_facts.remainingMs = 0;
+    m_factsSequence = std::numeric_limits<std::int64_t>::min();
+    m_unreportedChanges = true;
+    m_snapshotDue = true;
+}
+
 bool RunLedger::updateFacts(const MinionFacts &facts, std::int64_t sequence)
 {
     const bool sameIncarnation = m_facts.incarnation == facts.incarnation;
@@ -194,11 +218,15 @@
                              BootTime now)
 {
     if (listing.bornMs != 0 && listing.bornMs != m_facts.incarnation.bornMs) {
-        // The registered incarnation has ended.
+        if (m_registered && listing.bornMs > m_facts.incarnation.bornMs)
+            adoptIncarnation(listing.bornMs);
         m_unreportedChanges = m_unreportedChanges || m_reachable;
         m_reachable = false;
         return;
     }
+    // Calls that were meant for a former incarnation may have given this one the longest lease.
+    if (!std::exchange(m_incarnationListed, true))
+        m_leaseEnd = std::max(m_leaseEnd, latestLeaseEnd(now, now + m_longestLease));
     m_unreportedChanges = m_unreportedChanges || !m_reachable;
     m_reachable = true;
     m_clockMs = listing.clockMs;
--- a/src/libdispatch/simulated_cell.h
+++ b/src/libdispatch/simulated_cell.h
@@ -10,6 +10,7 @@
 #include "lavenderarch/dispatch/queue_catalog.h"
 #include "phase_check.h"
 #include "simulated_agent.h"
+#include "simulated_calls.h"
 
 #include <cstdlib>
 #include <doctest/doctest.h>
@@ -144,7 +145,7 @@
             if (outcome == RunOutcome::Failed)
                 ++m_acknowledgedFailures[run.task];
         };
-        agent->beginSession(0, m_now, leaseTime);
+        agent->beginSession(0, m_now);
         m_agents.push_back(std::move(agent));
     }
 
@@ -161,7 +162,7 @@
     void takeOver()
     {
         DispatchLimits limits;
-        limits.leaseMs = leaseTime.count();
+        limits.leaseMs = leaseTime.count(); // 0.9 of SimulatedMinion::longestLeaseMs
         limits.cancelMs = 3000;
         limits.evacuateMs = 5000;
         m_owner = std::make_unique<CellDispatcher>("svc", limits, ++m_epoch);
@@ -200,12 +201,7 @@
     void advanceStep()
     {
         injectFaults();
-        for (const DelayedStart &delayed : std::exchange(m_delayedStarts, {})) {
-            if (delayed.at > m_now)
-                m_delayedStarts.push_back(delayed);
-            else if (delayed.agent->minion.facts.incarnation == delayed.incarnation)
-                startAt(*delayed.agent, delayed.order, delayed.fence, delayed.untilMs);
-        }
+        m_calls.advance(m_now);
         for (const auto &agent : m_agents)
             advanceAgent(*agent);
         advanceOwner();
@@ -222,14 +218,16 @@
             takeOver();
         for (const auto &agent : m_agents) {
             if (chance(m_faults.agentRestart)) {
-                agent->beginSession(++m_sessions, m_now, leaseTime);
+                agent->beginSession(++m_sessions, m_now);
                 agent->nextCheckIn = m_now + randomDuration(100, 1100);
                 traceRun("agent restarts", {agent->name, 0});
             }
             if (chance(m_faults.silentMinion))
-                agent->silence.begin(m_now + randomDuration(300, 3000));
+                agent->silentUntil = m_now + randomDuration(300, 3000);
             if (chance(m_faults.agentPartition))
                 agent->partitionedUntil = m_now + randomDuration(3000, 12'000);
+            if (chance(m_faults.lostCheckIns))
+                agent->checkInsLostUntil = m_now + randomDuration(3000, 20'000);
             if (agent->minion.up && chance(m_faults.minionCrash)) {
                 traceRun("minion crashes", {agent->name, 0});
                 agent->minion.crash();
@@ -240,6 +238,7 @@
                 if (chance(m_faults.otherKind))
                     agent->minion.facts.capacity = minionKinds[m_random() % minionKinds.size()];
                 agent->sequence = 0;
+                agent->mayBeFenced = false;
                 agent->nextCheckIn = m_now + randomDuration(0, 1100);
             }
         }
@@ -259,7 +258,9 @@
             return;
         if (agent.minion.up && agent.nextCheckIn <= m_now) {
             agent.nextCheckIn = m_now + Milliseconds(1100);
-            agent.ledger->updateFacts(agent.minion.facts, ++agent.sequence);
+            ++agent.sequence;
+            if (agent.checkInsLostUntil <= m_now)
+                agent.ledger->updateFacts(agent.minion.facts, agent.sequence);
         }
         if (agent.lateReply && agent.lateReply->at <= m_now) {
             applyReply(agent, *agent.lateReply);
@@ -277,15 +278,7 @@
         if (agent.nextRenewal > m_now)
             return;
         agent.nextRenewal = m_now + Milliseconds(100);
-        const auto lease = agent.ledger->lease(m_now);
-        if (lease)
-            agent.ledger->renewalSent(*lease);
-        const auto listing = agent.silence.renew(agent.minion, lease, agent.ledger->epoch(),
-                                                 agent.ledger->endsToDiscard(), m_now, m_random);
-        if (listing)
-            agent.ledger->applyListing(*listing, agent.ledger->epoch(), m_now, m_now);
-        else
-            agent.ledger->renewalFailed(m_now);
+        m_calls.renew(agent, m_now);
     }
 
     void applyReply(Agent &agent, const LateReply &late)
@@ -338,14 +331,16 @@
 
     void executeOrder(Agent &agent, const RunOrder &order)
     {
-        const std::int64_t fence = agent.ledger->epoch();
-        const bool sameIncarnation =
-            agent.ledger->facts().incarnation == agent.minion.facts.incarnation;
+        const std::int64_t fence =
+            fencingToken(agent.ledger->facts().incarnation, agent.ledger->epoch());
         if (order.kind == OrderKind::Stop) {
             if (agent.ledger->runs().count(order.run) == 0)
                 return;
-            if (sameIncarnation && !agent.silence.isActive(m_now) &&
-                agent.minion.stop(order.run, fence))
+            const auto stop = [&agent, run = order.run, fence](BootTime) {
+                return agent.minion.stop(run, fence);
+            };
+            if (m_calls.order(agent, SimulatedCalls::Reach::Id, stop, m_now) ==
+                OrderAnswer::Accepted)
                 agent.ledger->stopConfirmed(order.run, m_now);
             else
                 agent.orders.push_back(order);
@@ -356,26 +351,36 @@
         const auto lease = agent.ledger->lease(m_now);
         if (!agent.ledger->shouldRun(order.run))
             return;
+        if (agent.awaitsAnswer(order.run, m_now))
+            return agent.orders.push_back(order);
         if (!lease || m_now >= agent.ledger->startBy(order.run)) {
-            agent.ledger->startRefused(order.run, "no lease or too late");
+            SimulatedCalls::abandonStart(agent, order, "no lease or too late");
             return;
         }
         if (guardStarts && !mayStart(agent, order))
             return;
         agent.ledger->renewalSent(*lease);
-        if (chance(m_faults.delayedOrder) || agent.silence.isActive(m_now)) {
-            m_delayedStarts.push_back({m_now + randomDuration(200, 9000), &agent,
-                                       agent.minion.facts.incarnation, order, fence,
-                                       lease->untilMinionMs});
+        const auto start = [this, &agent, order, fence, until = lease->untilMinionMs](BootTime) {
+            return startAt(agent, order, fence, until);
+        };
+        using Reach = SimulatedCalls::Reach;
+        if (chance(m_faults.delayedOrder)) {
+            m_calls.addLate(agent, Reach::Incarnation, start, m_now + randomDuration(200, 9000));
             return; // without an answer to the start, the ledger keeps the run as starting
         }
-        if (startAt(agent, order, fence, lease->untilMinionMs))
+        const OrderAnswer answer = m_calls.order(agent, Reach::Known, start, m_now);
+        if (answer == OrderAnswer::Accepted || answer == OrderAnswer::Ended) {
             agent.ledger->startConfirmed(order.run, m_now);
-        else if (!agent.minion.up)
-            agent.orders.push_back(order); // no answer; retried, possibly on the next incarnation
+        } else if (answer == OrderAnswer::Unknown) {
+            agent.unansweredStarts.insert(order.run);
+            agent.orders.push_back(order); // retried, possibly on the next incarnation
+        } else {
+            SimulatedCalls::abandonStart(agent, order, std::string(answerName(answer)));
+        }
     }
 
-    bool startAt(Agent &agent, const RunOrder &order, std::int64_t fence, std::int64_t untilMs)
+    OrderAnswer startAt(Agent &agent, const RunOrder &order, std::int64_t fence,
+                        std::int64_t untilMs)
     {
         const bool fails = failingTasks.count(order.run.task) != 0;
         const auto name = TaskName::parse(order.run.task);
@@ -451,13 +456,14 @@
         }
         const auto cancelled = m_cancelledAt.find(name->job);
         if (cancelled != m_cancelledAt.end() && agent.partitionedUntil <= m_now && m_owner &&
-            m_faults.delayedOrder == 0 && m_faults.ownerCrash == 0)
+            m_faults.delayedOrder == 0 && m_faults.ownerCrash == 0 && !m_calls.carryingOutLate())
             CHECK_MESSAGE(m_now - cancelled->second < Milliseconds(3000),
                           "task started after its job was cancelled: ", run.task);
     }
 
     RandomEngine m_random;
     CellFaults m_faults;
+    SimulatedCalls m_calls{m_random, m_faults};
     BootTime m_now;
     std::shared_ptr<const QueueCatalog> m_catalog;
     std::map<RowKey, Row> m_rows;
@@ -472,7 +478,6 @@
     std::vector<RowKey> m_unheard; // changed inbox rows that the owner has not applied
     BootTime m_inboxStaleUntil{};  // when the owner's view of the inbox is current again
     std::vector<std::unique_ptr<Agent>> m_agents;
-    std::vector<DelayedStart> m_delayedStarts;
     std::map<std::string, JobSpec> m_specs;
     CapacityCheck m_capacityCheck{m_specs};
     PhaseCheck m_phaseCheck{m_specs};
--- a/src/libruntime/agent_registration_test.cpp
+++ b/src/libruntime/agent_registration_test.cpp
@@ -21,7 +21,8 @@
     return false;
 }
 
-/// The minion "m", born at 5; calls for another id fail. Counts the renewals of its agent.
+/// The minion "m", born at 5. Refuses calls for another id, and calls with a lower fencing token
+/// than the highest that it has seen.
 class FakeMinion
 {
 public:
@@ -36,10 +37,13 @@
                                   std::int64_t waitMs, BootTime)
     {
         const std::scoped_lock lock(m_mutex);
-        if (waitMs > 0)
-            m_followed = context.incarnation;
         if (context.incarnation.id != "m")
             return makeError(ErrorKind::StaleCommand, "the minion answered 421");
+        if (context.fencingToken() < m_fence)
+            return makeError(ErrorKind::StaleCommand, "the minion answered 409");
+        m_fence = context.fencingToken();
+        if (waitMs > 0)
+            m_followed = context.incarnation;
         MinionListing listing;
         listing.clockMs = 1000;
         listing.bornMs = 5;
@@ -53,6 +57,7 @@
 
 private:
     mutable std::mutex m_mutex;
+    std::int64_t m_fence = 0;
     MinionIncarnation m_followed; // by the newest renewal that waits; guarded by m_mutex
 };
 
