--- a/src/libruntime/odd_rows_runtime_test.cpp
+++ b/src/libruntime/odd_rows_runtime_test.cpp
@@ -3,6 +3,7 @@
 #include "lavenderarch/runtime/job_state_cache.h"
 #include "memory_rows.h"
 
+#include <deque>
 #include <doctest/doctest.h>
 
 using namespace lavenderarch;
@@ -31,26 +32,37 @@
 // An owner row that nobody could read left the cell without an owner.
 TEST_CASE("a cell with an owner row of another writer is taken over in a higher epoch")
 {
-    for (const char *odd : {"\xff", "", "7", "{\"epoch\":9223372036854775807}", "{\"epoch\":-1}",
-                            "{\"epoch\":1e300}", "{\"owner\":7}"}) {
-        CAPTURE(odd);
-        MemoryRows store;
-        Metrics metrics;
-        const RowKey key = cells::ownerRowKey("svc");
+    const RowKey key = cells::ownerRowKey("svc");
+    Metrics metrics;
+    std::deque<MemoryRows> stores;
+    std::vector<std::int64_t> versions;
+    std::deque<CellHost<MemoryRows>> hosts;
+    const std::vector<std::string> oddRows{"\xff",
+                                           "",
+                                           "7",
+                                           "{\"epoch\":9223372036854775807}",
+                                           "{\"epoch\":-1}",
+                                           "{\"epoch\":1e300}",
+                                           "{\"owner\":7}"};
+    for (const std::string &odd : oddRows) {
+        MemoryRows &store = stores.emplace_back();
         const OwnerRecord former{"vm-z-1", "1.1.1.1:1", 1, 1, "m", false, false};
-        for (const std::string &value : {jsonText(former), std::string(odd)}) {
+        for (const std::string &value : {jsonText(former), odd}) {
             RowTransaction change;
             change.writes.push_back({key, value, false});
             REQUIRE(store.commit(change, deadlineIn(1000)).ok());
         }
-        const std::int64_t version = store.readOne(key, deadlineIn(1000))->version;
-        CellHost<MemoryRows> host(store, metrics, "svc", "vm-a-1", "1.1.1.1:1", DispatchLimits{});
-        REQUIRE(eventually([&] { return host.owns(); }));
+        versions.push_back(store.readOne(key, deadlineIn(1000))->version);
+        hosts.emplace_back(store, metrics, "svc", "vm-a-1", "1.1.1.1:1", DispatchLimits{});
+    }
+    for (std::size_t index = 0; index < oddRows.size(); ++index) {
+        CAPTURE(oddRows[index]);
+        REQUIRE(eventually([&] { return hosts[index].owns(); }));
         const auto record =
-            parseAs<OwnerRecord>(store.readOne(key, deadlineIn(1000))->value, "owner row");
+            parseAs<OwnerRecord>(stores[index].readOne(key, deadlineIn(1000))->value, "owner row");
         REQUIRE(record.ok());
         CHECK(record->owner == "vm-a-1");
-        CHECK(record->epoch == version + 1);
+        CHECK(record->epoch == versions[index] + 1);
     }
 }
 
