Ownership: smaller VMs let larger ones take a cell over first

Whoever read the owner row first took the cell, so that after a loss it could sit on a VM that cannot carry it. The owner row now holds the size of the largest VM that has owned the cell; a smaller one waits for 400 ms more. Before the first takeover no size is known: the wait then grows with what lacks to a whole core. Test: 'a smaller VM lets larger ones take a cell over first, for a bounded time' (takeover times of both sizes). Weighed: a list of all entries and their sizes (a second membership), a handover by a small owner (two takeovers instead of one).

--- a/src/include/lavenderarch/dispatch/owner_record.h
+++ b/src/include/lavenderarch/dispatch/owner_record.h
@@ -16,10 +16,12 @@
     std::string mark;
     bool released = false; ///< the owner has stopped, so the cell may be taken over at once
     bool leaving = false;  ///< the owner will release the cell soon; its rows may be read ahead
+    /// Processors of the largest VM that has owned the cell, in thousandths of a core.
+    std::int64_t largestMilliCores = 0;
 
     friend bool operator==(const OwnerRecord &, const OwnerRecord &) = default;
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(OwnerRecord, owner, address, epoch, sequence, mark,
-                                                released, leaving)
+                                                released, leaving, largestMilliCores)
 };
 
 } // namespace lavenderarch
--- a/src/include/lavenderarch/dispatch/ownership_watch.h
+++ b/src/include/lavenderarch/dispatch/ownership_watch.h
@@ -36,7 +36,9 @@
 
     /// `process` identifies this lifetime of the process and has the form VM-TEXT. An owner on the
     /// same VM with another text is an earlier lifetime of it, which has certainly ended.
-    explicit OwnershipWatch(std::string process);
+    /// `milliCores` are the processors of the VM, in thousandths of a core: an owner needs more of
+    /// them than other processes, so that smaller VMs let larger ones go first.
+    explicit OwnershipWatch(std::string process, std::int64_t milliCores = 1000);
 
     /// Evaluates the owner row from a read sent at `sentAt` and answered at `now`; `version` is 0
     /// if the row does not exist. Returns true if this process should try to take the cell over.
@@ -54,18 +56,21 @@
     /// Reason and age of the owner row's version, as of the last call of observe() that returned
     /// true.
     Reason reason() const { return m_reason; }
+    std::int64_t milliCores() const { return m_milliCores; }
     Milliseconds unchangedFor() const { return m_unchangedFor; }
 
 private:
     bool isPreviousProcess(const OwnerRecord &record) const;
-    /// Time for which this process lets others go first.
-    Milliseconds remoteDelay() const;
+    /// Time for which this process lets others go first, since they are nearer or larger.
+    Milliseconds yieldTime() const;
     Milliseconds releasedDelay(const OwnerRecord &record) const;
 
     std::string m_process;
-    std::int64_t m_version = -1; // as last read; -1 before the first read
-    BootTime m_since{};          // when that version was first read
-    int m_reads = 0;             // consecutive reads of that version
+    std::int64_t m_milliCores;
+    std::int64_t m_largestMilliCores = 0; // of the VMs that have owned the cell, as last read
+    std::int64_t m_version = -1;          // as last read; -1 before the first read
+    BootTime m_since{};                   // when that version was first read
+    int m_reads = 0;                      // consecutive reads of that version
     Milliseconds m_fastestRead{1'000'000};
     std::int64_t m_leavingEpoch = 0; // of an owner that is leaving; 0: it is not
     BootTime m_leavingSince{};       // when that was first read
--- a/src/include/lavenderarch/runtime/owner_fence.h
+++ b/src/include/lavenderarch/runtime/owner_fence.h
@@ -67,7 +67,14 @@
     bool claim(const OwnershipWatch &watch)
     {
         const OwnerRecord previous = m_record;
-        m_record = {m_owner, m_address, previous.epoch + 1, 0, "", false, false};
+        m_record = {m_owner,
+                    m_address,
+                    previous.epoch + 1,
+                    0,
+                    "",
+                    false,
+                    false,
+                    std::max(previous.largestMilliCores, watch.milliCores())};
         if (commit({}, BootClock::now() + ownershipCallTimeout * 2) != Outcome::Stored)
             return false;
         const std::string reason(reasonName(watch.reason()));
--- a/src/libdispatch/ownership_watch.cpp
+++ b/src/libdispatch/ownership_watch.cpp
@@ -12,13 +12,20 @@
 /// first.
 constexpr Milliseconds nearStoreReadTime{16};
 constexpr Milliseconds remoteTakeoverDelay{800};
+/// A process on a smaller VM than the largest that has owned the cell waits for this time more.
+constexpr Milliseconds smallVmDelay{400};
+/// Before the first takeover the sizes of the other VMs are not known: one without any processor
+/// would wait for this time.
+constexpr Milliseconds firstTakeoverSpread{1200};
+constexpr std::int64_t wholeCore = 1000;
 /// Minimum number of consecutive reads that must have returned the same version.
 constexpr int minReads = 3;
 
 } // namespace
 
-OwnershipWatch::OwnershipWatch(std::string process)
+OwnershipWatch::OwnershipWatch(std::string process, std::int64_t milliCores)
     : m_process(std::move(process))
+    , m_milliCores(milliCores)
 {
 }
 
@@ -33,6 +40,7 @@
                              BootTime now)
 {
     m_fastestRead = std::min(m_fastestRead, now - sentAt);
+    m_largestMilliCores = record.largestMilliCores;
     if (version != m_version) {
         m_version = version;
         m_since = now;
@@ -51,25 +59,32 @@
     if (m_reason == Reason::Released)
         return now - m_since >= releasedDelay(record);
     if (m_reason != Reason::Unchanged)
-        return now - m_since >= remoteDelay();
-    return m_reads >= minReads && sentAt - m_since >= ownerTakeoverTimeout + remoteDelay();
+        return now - m_since >= yieldTime();
+    return m_reads >= minReads && sentAt - m_since >= ownerTakeoverTimeout + yieldTime();
 }
 
-Milliseconds OwnershipWatch::remoteDelay() const
+Milliseconds OwnershipWatch::yieldTime() const
 {
-    return m_fastestRead > nearStoreReadTime ? remoteTakeoverDelay : Milliseconds(0);
+    Milliseconds time{0};
+    if (m_fastestRead > nearStoreReadTime)
+        time += remoteTakeoverDelay;
+    if (m_reason == Reason::NoOwner)
+        time += firstTakeoverSpread * (wholeCore - std::min(m_milliCores, wholeCore)) / wholeCore;
+    else if (m_milliCores < m_largestMilliCores)
+        time += smallVmDelay;
+    return time;
 }
 
 Milliseconds OwnershipWatch::releasedDelay(const OwnerRecord &record) const
 {
     if (m_successorEpoch != record.epoch)
-        return remoteDelay();
-    return m_isSuccessor ? Milliseconds(0) : std::max(successorHeadStart, remoteDelay());
+        return yieldTime();
+    return m_isSuccessor ? Milliseconds(0) : std::max(successorHeadStart, yieldTime());
 }
 
 std::int64_t OwnershipWatch::epochToReadAhead(BootTime now) const
 {
-    return now - m_leavingSince >= remoteDelay() ? m_leavingEpoch : 0;
+    return now - m_leavingSince >= yieldTime() ? m_leavingEpoch : 0;
 }
 
 void OwnershipWatch::setSuccessor(std::int64_t epoch, bool thisProcess)
--- a/src/libdispatch/ownership_watch_test.cpp
+++ b/src/libdispatch/ownership_watch_test.cpp
@@ -103,3 +103,35 @@
     CHECK(watch.unchangedFor() >= ownerTakeoverTimeout);
     CHECK(watch.unchangedFor() < ownerTakeoverTimeout + watchInterval);
 }
+
+namespace {
+
+/// Time from when the row was first read until a process on a VM of that size takes over.
+Milliseconds takeoverTime(std::int64_t milliCores, const OwnerRecord &record, std::int64_t version)
+{
+    OwnershipWatch watch("vm-2-aaaa", milliCores);
+    const BootTime first{Milliseconds(100'000)};
+    BootTime now = first;
+    while (!watch.observe(record, version, now, now))
+        now += Milliseconds(20);
+    return now - first;
+}
+
+} // namespace
+
+// After a loss a VM with a quarter of the processors took the cell over and fell behind.
+TEST_CASE("a smaller VM lets larger ones take a cell over first, for a bounded time")
+{
+    OwnerRecord silent{"vm-1-bbbb", "", 3, 0, "", false};
+    CHECK(takeoverTime(120, silent, 7) == takeoverTime(500, silent, 7));
+    silent.largestMilliCores = 500;
+    CHECK(takeoverTime(500, silent, 7) < Milliseconds(2600));
+    CHECK(takeoverTime(120, silent, 7) >= takeoverTime(500, silent, 7) + watchInterval);
+    CHECK(takeoverTime(120, silent, 7) < Milliseconds(3000));
+    OwnerRecord released = silent;
+    released.released = true;
+    CHECK(takeoverTime(500, released, 7) == Milliseconds(0));
+    CHECK(takeoverTime(120, released, 7) <= watchInterval);
+    CHECK(takeoverTime(1000, {}, 0) == Milliseconds(0));
+    CHECK(takeoverTime(120, {}, 0) >= takeoverTime(500, {}, 0) + watchInterval);
+}
