Connections that wait cost a descriptor instead of a thread; state reads in batches

A poll of an agent blocked its thread for up to 0.9 s, and each wake-up of one of 480 threads is charged to the owner.

Change: EventHttpServer (Boost.Asio and Boost.Beast) serves all connections of a port set on one thread; HeldCalls keeps the polls of agents and answers them on one thread, so that CellHost::exchange() no longer blocks; WorkerPool answers callers, which may block on the store, on as many threads as there is work, at most 64. A pool without any thread rejects with 503 (not run). Bodies that are being read are bounded by 24 MB. An exception in a follower's callback, such as one for want of a thread, calls for a reload instead of ending the process. The follower of job states leaves 150 ms between its calls (RowFollower asked again after each change, in each entry).

Ruled out: fewer CivetWeb threads (an idle connection holds one), a thread that parks idle connections and hands them to CivetWeb (it takes no foreign sockets), callers at CivetWeb and agents not (idle callers cost the same threads).

Tests: event_http_server_test (300 idle connections and slow senders without a thread), held_calls_test (600 polls), worker_pool_test.

--- a/src/build-scripts/install_packages.sh
+++ b/src/build-scripts/install_packages.sh
@@ -2,7 +2,7 @@
 # Installs the missing Debian packages that the build needs.
 set -eu
 packages="g++ make cmake ninja-build pkg-config python3 clang-format clang-tidy \
-libcivetweb-dev libjsonrpccpp-dev prometheus-cpp-dev libboost-program-options-dev \
+libcivetweb-dev libboost-dev libjsonrpccpp-dev prometheus-cpp-dev libboost-program-options-dev \
 liblog4cxx-dev libabsl-dev doctest-dev nlohmann-json3-dev libvalijson-dev \
 librapidcheck-dev libxxhash-dev libbenchmark-dev"
 missing=""
--- a/src/include/lavenderarch/runtime/cell_host.h
+++ b/src/include/lavenderarch/runtime/cell_host.h
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "lavenderarch/dispatch/queue_catalog.h"
-#include "lavenderarch/runtime/agent_waiters.h"
 #include "lavenderarch/runtime/cell_load.h"
 #include "lavenderarch/runtime/cell_successor.h"
+#include "lavenderarch/runtime/held_calls.h"
 #include "lavenderarch/runtime/inbox_rows.h"
 #include "lavenderarch/runtime/inbox_writer.h"
 #include "lavenderarch/runtime/measured_commit.h"
@@ -36,13 +36,15 @@
 {
 public:
     CellHost(Store &store, Metrics &metrics, std::string cell, std::string owner,
-             std::string address, DispatchLimits limits, Milliseconds loadTimeout = cellLoadTimeout)
+             std::string address, DispatchLimits limits, Milliseconds loadTimeout = cellLoadTimeout,
+             std::int64_t milliCores = 1000)
         : m_store(store)
         , m_metrics(metrics)
         , m_cell(std::move(cell))
         , m_owner(std::move(owner))
         , m_limits(limits)
         , m_loadTimeout(loadTimeout)
+        , m_milliCores(milliCores)
         , m_fence(store, metrics, m_cell, m_owner, std::move(address))
         , m_successor(store, m_cell, m_owner)
         , m_thread([this](const std::stop_token &stop) { run(stop); })
@@ -108,44 +110,20 @@
             m_dispatcher->setEvacuationsTime(asOf);
     }
 
-    /// Handles an agent's request. Blocks until there are orders for the agent, for at most the
-    /// request's waitMs. StaleCommand when this process does not own the cell. While the cell is
-    /// loaded the reply only grants a lease, so that what runs continues; the agent repeats the
-    /// content of the request in its next one.
-    StatusOr<ExchangeReply> exchange(const ExchangeRequest &request)
+    /// Handles an agent's request. Calls `answer` once, here or on another thread: when there are
+    /// orders for the agent, after the request's waitMs at the latest. StaleCommand when this
+    /// process does not own the cell. While the cell is loaded the reply only grants a lease, so
+    /// that what runs continues; the agent repeats the content of the request in its next one.
+    void exchange(const ExchangeRequest &request, HeldCall::Answer answer)
     {
         const BootTime arrived = BootClock::now();
-        const BootTime until = arrived + Milliseconds(request.boundedWaitMs());
-        std::unique_lock lock(m_mutex);
-        const bool waited = m_state == State::Loading;
-        // An agent that does not know the epoch yet learns it at once.
-        while (m_state == State::Loading && request.epoch == m_epoch && !m_releasing &&
-               BootClock::now() < until)
-            m_changed.wait_for(lock, until - BootClock::now());
-        // An owner that could not renew rejects agents, as another process may have taken over.
-        const bool mayGrant = ownershipValid();
-        if (m_state == State::Idle || request.epoch > m_epoch || !mayGrant)
-            return reject(lock, until);
-        if (m_state == State::Loading)
-            return loadingReply(request);
-        const std::int64_t epoch = m_epoch;
-        m_dispatcher->handleRequest(request, BootClock::now(), mayGrant);
-        if (m_dispatcher->hasWork() || releasing()) {
-            m_workPending = true;
-            m_work.notify_all();
-        }
-        while (m_dispatcher != nullptr && m_epoch == epoch && !waited &&
-               !m_dispatcher->hasOrders(request.agent)) {
-            const BootTime now = BootClock::now();
-            if (now >= until || m_releasing)
-                break;
-            m_waiters.wait(request.agent, lock, until - now);
-        }
-        if (m_dispatcher == nullptr || m_epoch != epoch || m_releasing)
-            return reject(lock, until);
-        return m_dispatcher->reply(request, arrived, ownershipValid());
+        m_calls.submit({request, arrived, arrived + Milliseconds(request.boundedWaitMs()), false, 0,
+                        HeldCall::Stage::Arrived, std::move(answer)});
     }
 
+    /// The same; blocks until the answer.
+    StatusOr<ExchangeReply> exchange(const ExchangeRequest &request);
+
     bool owns() const
     {
         const std::scoped_lock lock(m_mutex);
@@ -159,15 +137,12 @@
         Serving  ///< the owner, with a dispatcher
     };
 
+    /// Requires m_mutex. The answer of `call`, or nothing if it waits.
+    std::optional<HeldCall::Result> decide(HeldCall &call);
+    /// Requires m_mutex. Handles the message of `call` unless the cell is being loaded.
+    std::optional<HeldCall::Result> receive(HeldCall &call);
     /// Requires m_mutex. Installing the dispatcher assumes that the leases granted here are valid.
-    ExchangeReply loadingReply(const ExchangeRequest &request) const
-    {
-        ExchangeReply reply;
-        reply.epoch = m_epoch;
-        reply.incarnation = request.facts.incarnation;
-        reply.grantMs = request.reachable ? m_limits.leaseMs : 0;
-        return reply;
-    }
+    ExchangeReply loadingReply(const ExchangeRequest &request) const;
 
     /// Requires m_mutex.
     void setState(State state)
@@ -176,24 +151,16 @@
         if (state == State::Idle)
             m_dispatcher.reset();
         m_changed.notify_all();
-        m_waiters.wakeAll();
+        m_calls.wakeAll();
     }
 
     bool releasing() const { return m_releaseBy.load() != BootTime::max(); }
 
-    /// Holds a poll of a released cell until the agent can look up the next owner.
-    Status reject(std::unique_lock<std::mutex> &lock, BootTime until)
-    {
-        while (m_awaitingSuccessor && BootClock::now() < until)
-            m_changed.wait_for(lock, until - BootClock::now());
-        return makeError(ErrorKind::StaleCommand, "this process does not own cell " + m_cell);
-    }
-
-    /// Requires m_mutex. Wakes the blocked calls of agents that have got orders.
+    /// Requires m_mutex. Wakes the held calls of agents that have got orders.
     void wakeAgents()
     {
         for (const std::string &agent : m_dispatcher->takeAgentsToWake())
-            m_waiters.wake(agent);
+            m_calls.wake(agent);
     }
 
     /// Requires m_mutex. False while releasing, or when another process may have taken over.
@@ -204,7 +171,7 @@
 
     void run(const std::stop_token &stop)
     {
-        OwnershipWatch watch(m_owner);
+        OwnershipWatch watch(m_owner, m_milliCores);
         while (!stop.stop_requested()) {
             if (m_awaitingSuccessor)
                 findSuccessor();
@@ -228,7 +195,7 @@
             return;
         const std::scoped_lock lock(m_mutex);
         m_awaitingSuccessor = false;
-        m_changed.notify_all();
+        m_calls.wakeAll();
     }
 
     /// Loads the cell and acts as its owner until another process takes it over or it is released.
@@ -471,6 +438,7 @@
     const std::string m_owner;
     const DispatchLimits m_limits;
     const Milliseconds m_loadTimeout;
+    const std::int64_t m_milliCores;  // of the VM
     OwnerFence<Store> m_fence;        // used by the thread only, except for its renewedAt()
     CellSuccessor<Store> m_successor; // used by the thread only, and by the loader
     BootTime m_claimAfter{};          // used by the thread only
@@ -479,7 +447,6 @@
     mutable std::mutex m_mutex;
     std::condition_variable m_work;                // wakes the thread
     std::condition_variable m_changed;             // signals a change of m_state
-    AgentWaiters m_waiters;                        // guarded by m_mutex
     State m_state = State::Idle;                   // guarded by m_mutex
     std::int64_t m_epoch = 0;                      // of the newest ownership; guarded by m_mutex
     std::unique_ptr<CellDispatcher> m_dispatcher;  // null unless Serving; guarded by m_mutex
@@ -494,7 +461,10 @@
     std::atomic<bool> m_awaitingSuccessor{false};       ///< released, and not taken over yet
     std::unique_ptr<RowFollower<Store>> m_follower;     // used by the thread only
     std::unique_ptr<InboxWriter<Store>> m_inboxWriter;  // used by the thread only
-    std::jthread m_thread;                              // declared last, so joined first
+    HeldCalls m_calls{m_mutex, [this](HeldCall &call) { return decide(call); }};
+    std::jthread m_thread; // declared last, so joined first
 };
 
 } // namespace lavenderarch
+
+#include "lavenderarch/runtime/cell_host_exchange_impl.h"
--- a/src/include/lavenderarch/runtime/row_follower.h
+++ b/src/include/lavenderarch/runtime/row_follower.h
@@ -19,6 +19,9 @@
 inline constexpr Milliseconds followSlack{700};
 /// Delay before the next attempt after a failed call.
 inline constexpr Milliseconds followRetryPause{150};
+/// A follower that need not hear of each change at once leaves at least this time between its
+/// calls, so that their number does not grow with the rate of changes.
+inline constexpr Milliseconds batchedFollowInterval{150};
 
 /// Runs from construction to destruction. `reload` reads all rows; `change` handles one changed
 /// row; `current` learns that all changes stored by a time have been handled. They are called on
@@ -32,17 +35,20 @@
     using Change = std::function<void(const Row &)>;
     using Current = std::function<void(BootTime asOf)>;
 
-    /// With `loadedVersion`, the caller has read the rows as of that version, and following starts
+    /// Consecutive calls begin at least `interval` apart; changes in between come together. With
+    /// `loadedVersion`, the caller has read the rows as of that version, and following starts
     /// from there.
     RowFollower(
         Store &store, std::string table, Reload reload, Change change,
-        Current current = [](BootTime) {}, std::optional<std::int64_t> loadedVersion = std::nullopt)
+        Current current = [](BootTime) {}, std::optional<std::int64_t> loadedVersion = std::nullopt,
+        Milliseconds interval = Milliseconds(0))
         : m_store(store)
         , m_table(std::move(table))
         , m_reload(std::move(reload))
         , m_change(std::move(change))
         , m_current(std::move(current))
         , m_version(loadedVersion.value_or(0))
+        , m_interval(interval)
         , m_loaded(loadedVersion.has_value())
         , m_thread([this](const std::stop_token &stop) { run(stop); })
     {
@@ -60,7 +66,7 @@
     {
         bool reachable = true;
         while (!stop.stop_requested()) {
-            const Status done = followOnce();
+            const Status done = followGuarded();
             if (done.ok() != reachable) {
                 reachable = done.ok();
                 if (reachable)
@@ -75,6 +81,17 @@
         }
     }
 
+    /// An exception of a callback, such as one for want of a thread, calls for a reload.
+    Status followGuarded()
+    {
+        try {
+            return followOnce();
+        } catch (const std::exception &error) {
+            m_reloadRequested = true;
+            return makeError(ErrorKind::Internal, error.what());
+        }
+    }
+
     Status followOnce()
     {
         // The first reload also serves the requests made before it.
@@ -86,9 +103,11 @@
                 return reloaded;
             }
         }
+        std::this_thread::sleep_until(m_nextCall);
         // An answer may be read long after the store has sent it, so that it proves nothing about
         // changes stored after the call.
         const BootTime sentAt = BootClock::now();
+        m_nextCall = sentAt + m_interval;
         const auto changes = m_store.follow(m_table, m_version, sentAt + followWait + followSlack);
         if (!changes.ok() && kindOf(changes.status()) == ErrorKind::NotFound) {
             logEvent(LogLevel::Info, "follower",
@@ -135,7 +154,9 @@
     const Reload m_reload;
     const Change m_change;
     const Current m_current;
-    std::int64_t m_version;     // used by the thread only
+    std::int64_t m_version; // used by the thread only
+    const Milliseconds m_interval;
+    BootTime m_nextCall{};      // earliest time of the next call; used by the thread only
     bool m_historyLost = false; // since the last reload; used by the thread only
     std::atomic<bool> m_loaded;
     std::atomic<bool> m_reloadRequested{false};
--- /dev/null
+++ b/src/libhttp/event_connection.cpp
@@ -0,0 +1,324 @@
+// Reading of requests and writing of responses on one connection.
+#include "event_connection.h"
+
+#include "lavenderarch/http/percent_encode.h"
+#include "lavenderarch/telemetry/log.h"
+
+#include <algorithm>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/status.hpp>
+
+namespace lavenderarch {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+/// Limit on the memory for bodies of all requests that are being read. A body counts with its
+/// declared length, or with the limit of its port.
+constexpr std::size_t maxReservedBytes = std::size_t{24} * 1024 * 1024;
+/// Time for which an idle connection stays open once there is no keep-alive any more.
+constexpr Milliseconds finalIdleTime{300};
+/// Time for which the input of a rejected request is read and discarded.
+constexpr Milliseconds discardTime{1000};
+constexpr std::size_t discardBytes = std::size_t{16} * 1024;
+/// Largest size of request line and header fields.
+constexpr std::uint32_t maxHeadBytes = 16 * 1024;
+
+std::string responseText(const HttpResponse &response, bool reusable)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(response.status) + " ";
+    const auto reason =
+        beast::http::obsolete_reason(static_cast<beast::http::status>(response.status));
+    text.append(reason.data(), reason.size()).append("\r\n");
+    for (const auto &[name, value] : response.headers.fields())
+        text.append(name).append(": ").append(value).append("\r\n");
+    text.append("Content-Length: ").append(std::to_string(response.body.size()));
+    text += reusable ? "\r\nConnection: keep-alive\r\n\r\n" : "\r\nConnection: close\r\n\r\n";
+    return text + response.body;
+}
+
+std::string textOf(beast::string_view view)
+{
+    return {view.data(), view.size()};
+}
+
+template <typename Message>
+HttpRequest requestOf(Message &message)
+{
+    HttpRequest request;
+    request.method = textOf(message.method_string());
+    const std::string target = textOf(message.target());
+    const auto query = target.find('?');
+    request.path = percentDecode(target.substr(0, query));
+    request.query = query == std::string::npos ? "" : target.substr(query + 1);
+    for (const auto &field : message)
+        request.headers.set(textOf(field.name_string()), textOf(field.value()));
+    request.body = std::move(message.body());
+    return request;
+}
+
+} // namespace
+
+// close() removes the connection from the registry.
+void ConnectionRegistry::closeAll()
+{
+    while (!m_connections.empty())
+        (*m_connections.begin())->close();
+}
+
+void ConnectionRegistry::closeExpired(BootTime now)
+{
+    for (auto next = m_connections.begin(); next != m_connections.end();) {
+        const ConnectionPtr connection = *next++;
+        if (connection->deadline() <= now)
+            connection->close();
+    }
+}
+
+void ConnectionRegistry::closeIdlest()
+{
+    ConnectionPtr idlest;
+    for (const ConnectionPtr &connection : m_connections) {
+        if (connection->idle() &&
+            (idlest == nullptr || connection->deadline() < idlest->deadline()))
+            idlest = connection;
+    }
+    if (idlest != nullptr)
+        idlest->close();
+}
+
+void ConnectionRegistry::shortenIdleTimes()
+{
+    const BootTime deadline = BootClock::now() + finalIdleTime;
+    for (const ConnectionPtr &connection : m_connections) {
+        if (connection->idle())
+            connection->setDeadline(std::min(connection->deadline(), deadline));
+    }
+}
+
+bool ConnectionRegistry::reserve(std::size_t bytes)
+{
+    if (bytes > maxReservedBytes - m_reservedBytes)
+        return false;
+    m_reservedBytes += bytes;
+    return true;
+}
+
+EventConnection::EventConnection(asio::ip::tcp::socket socket,
+                                 std::shared_ptr<const ConnectionEndpoint> endpoint,
+                                 ConnectionRegistry &registry, std::weak_ptr<void> server)
+    : m_socket(std::move(socket))
+    , m_endpoint(std::move(endpoint))
+    , m_registry(registry)
+    , m_server(std::move(server))
+{
+}
+
+EventConnection::~EventConnection()
+{
+    releaseBody();
+}
+
+void EventConnection::open()
+{
+    m_registry.add(shared_from_this());
+    Error ignored;
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    awaitRequest();
+}
+
+void EventConnection::close()
+{
+    Error ignored;
+    m_socket.close(ignored);
+    m_deadline = BootTime::max();
+    m_registry.remove(shared_from_this());
+}
+
+/// A connection without a request holds no buffer.
+void EventConnection::awaitRequest()
+{
+    releaseBody();
+    m_parser.reset();
+    if (m_buffer.size() > 0) {
+        readHead();
+        return;
+    }
+    m_buffer = beast::flat_buffer();
+    m_idle = true;
+    m_deadline = BootClock::now() +
+                 (m_registry.keepAlive() ? m_endpoint->options.idleTimeout : finalIdleTime);
+    m_socket.async_wait(asio::ip::tcp::socket::wait_read,
+                        [self = shared_from_this()](const Error &error) {
+                            if (error)
+                                self->close();
+                            else
+                                self->readHead();
+                        });
+}
+
+void EventConnection::readHead()
+{
+    m_idle = false;
+    m_deadline = BootClock::now() + m_endpoint->options.requestTimeout;
+    m_parser.emplace();
+    m_parser->header_limit(maxHeadBytes);
+    m_parser->body_limit(m_endpoint->options.maxBodyBytes);
+    beast::http::async_read_header(
+        m_socket, m_buffer, *m_parser,
+        [self = shared_from_this()](const Error &error, std::size_t) { self->headRead(error); });
+}
+
+void EventConnection::headRead(const Error &error)
+{
+    const std::size_t limit = m_endpoint->options.maxBodyBytes;
+    if (error == beast::http::error::body_limit) {
+        reject(makeError(ErrorKind::PayloadTooLarge,
+                         "body exceeds " + std::to_string(limit) + " bytes"));
+        return;
+    }
+    if (error && error != beast::http::error::end_of_stream &&
+        error.category() == make_error_code(beast::http::error::end_of_stream).category()) {
+        reject(makeError(ErrorKind::InvalidRequest, "not HTTP: " + error.message()));
+        return;
+    }
+    if (error) {
+        close();
+        return;
+    }
+    const auto length = m_parser->content_length();
+    const std::size_t bytes = m_parser->chunked() ? limit : std::size_t(length.value_or(0));
+    if (!m_registry.reserve(bytes)) {
+        reject(makeError(ErrorKind::Overloaded, "too many large requests at once"));
+        return;
+    }
+    m_reservedBytes = bytes;
+    if (m_parser->is_done()) {
+        handle();
+        return;
+    }
+    if (beast::iequals(m_parser->get()[beast::http::field::expect], "100-continue")) {
+        m_output = "HTTP/1.1 100 Continue\r\n\r\n";
+        asio::async_write(m_socket, asio::buffer(m_output),
+                          [self = shared_from_this()](const Error &failed, std::size_t) {
+                              if (failed)
+                                  self->close();
+                              else
+                                  self->readBody();
+                          });
+        return;
+    }
+    readBody();
+}
+
+void EventConnection::readBody()
+{
+    beast::http::async_read(
+        m_socket, m_buffer, *m_parser,
+        [self = shared_from_this()](const Error &error, std::size_t) { self->bodyRead(error); });
+}
+
+void EventConnection::bodyRead(const Error &error)
+{
+    if (error == beast::http::error::body_limit)
+        reject(makeError(ErrorKind::PayloadTooLarge, "the body is too large"));
+    else if (error)
+        close();
+    else
+        handle();
+}
+
+void EventConnection::handle()
+{
+    m_deadline = BootTime::max();
+    auto message = m_parser->release();
+    m_parser.reset();
+    const auto answer = makeRespond(message.keep_alive());
+    m_registry.requestBegan();
+    HttpRequest request = requestOf(message);
+    const std::string method = request.method;
+    const std::string path = request.path;
+    try {
+        m_endpoint->handler(std::move(request), answer);
+    } catch (const std::exception &error) {
+        const Status failed = makeError(ErrorKind::Internal, error.what());
+        logFailure("http", "request failed with an exception", failed,
+                   {{"method", method}, {"path", path}});
+        answer(errorResponse(failed));
+    }
+}
+
+EventHttpServer::Respond EventConnection::makeRespond(bool reusable)
+{
+    const auto answered = std::make_shared<std::atomic<bool>>(false);
+    return [connection = weak_from_this(), server = m_server, executor = m_socket.get_executor(),
+            reusable, answered](HttpResponse response) {
+        // The executor is valid while the server exists.
+        const auto existing = server.lock();
+        if (existing == nullptr || answered->exchange(true))
+            return;
+        asio::dispatch(executor, [connection, reusable, response = std::move(response)] {
+            if (const auto self = connection.lock())
+                self->respond(response, reusable);
+        });
+    };
+}
+
+void EventConnection::reject(const Status &error)
+{
+    m_deadline = BootClock::now() + discardTime;
+    m_output = responseText(errorResponse(error), false);
+    asio::async_write(m_socket, asio::buffer(m_output),
+                      [self = shared_from_this()](const Error &failed, std::size_t) {
+                          if (failed)
+                              self->close();
+                          else
+                              self->discardInput();
+                      });
+}
+
+void EventConnection::discardInput()
+{
+    Error ignored;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    m_output.resize(discardBytes);
+    m_socket.async_read_some(asio::buffer(m_output),
+                             [self = shared_from_this()](const Error &error, std::size_t) {
+                                 if (error)
+                                     self->close();
+                                 else
+                                     self->discardInput();
+                             });
+}
+
+void EventConnection::respond(const HttpResponse &response, bool reusable)
+{
+    if (!m_socket.is_open() || response.status == dropConnectionStatus) {
+        m_registry.requestEnded();
+        close();
+        return;
+    }
+    const bool keepOpen = reusable && m_registry.keepAlive();
+    m_deadline = BootClock::now() + m_endpoint->options.requestTimeout;
+    m_output = responseText(response, keepOpen);
+    asio::async_write(m_socket, asio::buffer(m_output),
+                      [self = shared_from_this(), keepOpen](const Error &error, std::size_t) {
+                          self->m_registry.requestEnded();
+                          self->m_output = {};
+                          if (error || !keepOpen)
+                              self->close();
+                          else
+                              self->awaitRequest();
+                      });
+}
+
+void EventConnection::releaseBody()
+{
+    m_registry.release(m_reservedBytes);
+    m_reservedBytes = 0;
+}
+
+} // namespace lavenderarch
