Placement: searches of bounded size, room kept for long-running tasks, and why tasks wait

Change: a search compares 24 minions with room and goes on from there next time; searches for long-running tasks and for a rack compare all. While a long-running task finds no room, it is kept free on the minions that lack the least, on at most a twelfth of them; short tasks do not take it. Suspected before and refuted by the log: memory held by best-effort tasks (obstacle 'memory' on 1 to 9 of 240 minions). Weighed: packing short tasks (starts of one agent come one after the other), preemption (throws work away, and short tasks end within a second anyway). Tests: kept_room_test (pattern: bin fragmentation), dispatch_load_test (work of a search at 60 and 240 minions).

--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -179,7 +179,12 @@
     void roomGained(MinionView &view);
     void headroomGained(MinionView &view);
     void refreshHeadrooms();
+    /// Keeps room free on minions for long-running tasks that have found none.
+    void keepRoom(BootTime now);
+    std::size_t keepRoomFor(const JobModel &job, const JobModel::WaitingStep &waiting, BootTime now,
+                            std::size_t limit);
     void reportPlacement(BootTime now);
+    void reportWaiting(BootTime now);
     void releaseStaged(const Staged &staged, BootTime now);
     void expireEndedJobs(BootTime now);
     void settle(const std::string &id, BootTime now);
@@ -212,6 +217,7 @@
     /// become final since.
     std::set<std::tuple<int, BootTime, std::string>> m_overdueTimes;
     FailedSearches m_failedSearches;
+    std::string m_searchFrom;                       // agent with which the next search begins
     std::int64_t m_roomVersion = 1;                 // increases when a minion gains room
     std::int64_t m_triedRoomVersion = 0;            // in which all of m_waitingJobs have been tried
     std::int64_t m_triedObservations = 0;           // observations of m_tailModel at that time
--- a/src/include/lavenderarch/dispatch/minion_view.h
+++ b/src/include/lavenderarch/dispatch/minion_view.h
@@ -44,8 +44,13 @@
     std::map<std::int64_t, bool> ends; ///< ends above endsSeen: whether they are stored
     std::vector<RunKey> absentSeen;    ///< stored Absent ends to confirm with the next reply
 
-    Resources used;                       ///< demand of `runs` that counts against the capacity
-    std::map<RunKey, ServingRun> serving; ///< runs with a tail latency target
+    Resources used;              ///< demand of `runs` that counts against the capacity
+    Resources usedByLongRunning; ///< the part of `used` that does not end by itself
+    /// Room that is kept free for a long-running task of the job `keptForJob`; none if that is
+    /// empty.
+    Resources keptRoom;
+    std::string keptForJob;
+    std::map<RunKey, ServingRun> serving;       ///< runs with a tail latency target
     std::map<RunKey, BestEffortRun> bestEffort; ///< best-effort runs
     /// Shares of the processors that `bestEffort` would use at full pace, by image.
     BestEffortShares fullPaceShares;
--- /dev/null
+++ b/src/libdispatch/cell_dispatcher_kept_room.cpp
@@ -0,0 +1,78 @@
+// Room that is kept free for long-running tasks. Short tasks take each small room at once, so that
+// a task that needs a larger one would never find it under load.
+#include "lavenderarch/dispatch/cell_dispatcher.h"
+
+#include "placement.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace lavenderarch {
+namespace {
+
+/// Most minions on which room is kept, as a share of all and at least one.
+constexpr std::size_t minionsPerKeptRoom = 12;
+
+} // namespace
+
+void CellDispatcher::keepRoom(BootTime now)
+{
+    std::vector<MinionView *> keptBefore;
+    for (auto &[agent, view] : m_minions) {
+        if (!view.keptForJob.empty())
+            keptBefore.push_back(&view);
+        view.keptForJob.clear();
+        view.keptRoom = Resources();
+    }
+    auto left = std::max<std::size_t>(m_minions.size() / minionsPerKeptRoom, 1);
+    for (const auto &[key, job] : m_waitingJobs) {
+        for (const JobModel::WaitingStep &waiting : job->waitingSteps()) {
+            const StepSpec &step = job->spec().steps[waiting.step];
+            if (left > 0 && step.longRunning && !step.gang)
+                left -= keepRoomFor(*job, waiting, now, left);
+        }
+    }
+    for (MinionView *view : keptBefore) {
+        if (view->keptForJob.empty())
+            roomGained(*view);
+    }
+}
+
+/// Chooses the minions that lack the least room, at most `limit`; returns their number.
+std::size_t CellDispatcher::keepRoomFor(const JobModel &job, const JobModel::WaitingStep &waiting,
+                                        BootTime now, std::size_t limit)
+{
+    const StepSpec &step = job.spec().steps[waiting.step];
+    const Resources demand = reservedDemand(step);
+    std::size_t waitingTasks = 0;
+    std::map<std::string, int> sameStep; // tasks of the step by agent
+    for (const TaskState &task : job.occurrences().at(waiting.occurrence)[waiting.step]) {
+        waitingTasks += task.phase == TaskPhase::Waiting ? 1 : 0;
+        if (task.active())
+            ++sameStep[task.agent];
+    }
+    const TaskState task;
+    const PlacementRequest request{&job.spec(),          &step,        &task,
+                                   &m_closedDataCentres, &m_tailModel, false};
+    std::vector<std::pair<std::int64_t, MinionView *>> candidates; // by the processors they lack
+    for (auto &[agent, view] : m_minions) {
+        const auto same = sameStep.find(agent);
+        const bool full =
+            step.maxPerMinion > 0 && same != sameStep.end() && same->second >= step.maxPerMinion;
+        if (full || !view.keptForJob.empty() || !fitsBesideLongRunning(view, request, now))
+            continue;
+        const Resources missing = view.used + demand - view.facts.capacity;
+        candidates.emplace_back(std::max<std::int64_t>(missing.milliCores(), 0), &view);
+    }
+    std::sort(candidates.begin(), candidates.end(), [](const auto &one, const auto &other) {
+        return std::tie(one.first, one.second->agent) < std::tie(other.first, other.second->agent);
+    });
+    candidates.resize(std::min({candidates.size(), waitingTasks, limit}));
+    for (const auto &[missing, view] : candidates) {
+        view->keptForJob = job.spec().id;
+        view->keptRoom = demand;
+    }
+    return candidates.size();
+}
+
+} // namespace lavenderarch
--- a/src/libdispatch/cell_dispatcher_placement.cpp
+++ b/src/libdispatch/cell_dispatcher_placement.cpp
@@ -15,8 +15,9 @@
 /// Maximum number of tasks that are placed on a minion after one search. An agent starts them one
 /// after the other, so that the last of a larger group would start late.
 constexpr std::size_t maxGroupSize = 8;
-/// Minimum time between two log lines about the work of placement.
-constexpr Milliseconds reportInterval{1000};
+/// Minions with room that a search compares. The best of so many is nearly as good as the best of
+/// all, and the time of a search does not grow with the size of the cell.
+constexpr std::size_t enoughCandidates = 24;
 /// Value of TaskState::startOrder while the start waits for its commit.
 constexpr std::int64_t unreleased = -1;
 
@@ -37,6 +38,8 @@
     if (!view.runs.insert(run).second)
         return;
     view.used = view.used + reservedDemand(step);
+    if (step.longRunning)
+        view.usedByLongRunning = view.usedByLongRunning + reservedDemand(step);
     if (step.tailTargetMs > 0)
         view.serving[run].image = step.image;
     if (step.bestEffort) {
@@ -51,6 +54,8 @@
     if (view.runs.erase(run) == 0)
         return;
     view.used = view.used - reservedDemand(step);
+    if (step.longRunning)
+        view.usedByLongRunning = view.usedByLongRunning - reservedDemand(step);
     view.serving.erase(run);
     if (view.bestEffort.erase(run) != 0)
         view.fullPaceShares = fullPaceShares(view);
@@ -259,9 +264,15 @@
             : std::map<std::string, int>{};
     const PlacementRequest request{&job.spec(),          &spec,        &task,
                                    &m_closedDataCentres, &m_tailModel, idleJob};
+    // Long-running tasks are few and stay; those that want a rack have few candidates.
+    const bool compareAll = spec.longRunning || !spec.preferredRack.empty();
     MinionView *best = nullptr;
     double bestScore = 0;
-    for (auto &[agent, view] : m_minions) {
+    std::size_t candidates = 0;
+    auto next = m_minions.lower_bound(m_searchFrom);
+    for (std::size_t left = m_minions.size(); left > 0; --left) {
+        next = next == m_minions.end() ? m_minions.begin() : next;
+        auto &[agent, view] = *next++;
         if (view.roomVersion <= failedAt && (!spec.bestEffort || view.headroomVersion <= failedAt))
             continue;
         ++m_placementCounts.minions;
@@ -276,6 +287,10 @@
             best = &view;
             bestScore = *score;
         }
+        if (++candidates >= enoughCandidates && !compareAll) {
+            m_searchFrom = agent + '\0'; // the next search begins with the minion after this one
+            break;
+        }
     }
     if (remember)
         m_failedSearches.record(search, m_roomVersion);
@@ -301,6 +316,10 @@
     order.payload = job.spec().payload;
     order.checkpoint = task.checkpoint;
     attach(view, step, order.run);
+    if (view.keptForJob == job.spec().id) { // the task takes the room that was kept
+        view.keptForJob.clear();
+        view.keptRoom = Resources();
+    }
     ++m_placementCounts.placed;
     RunKey run = order.run;
     m_staged[job.spec().id].orders.emplace_back(view.agent, std::move(order));
@@ -322,34 +341,4 @@
                                 {"catalogVersion", std::to_string(m_catalog->version)}});
 }
 
-/// Logs the work of placement since the last report and the unfinished jobs of each queue.
-void CellDispatcher::reportPlacement(BootTime now)
-{
-    const PlacementCounts &counts = m_placementCounts;
-    if (now < m_nextReport || counts == m_reportedCounts)
-        return;
-    m_nextReport = now + reportInterval;
-    const PlacementCounts last = std::exchange(m_reportedCounts, counts);
-    std::map<std::string, std::pair<int, int>> queues; // unfinished jobs, those without a run
-    for (const auto &[priority, accepted, id] : m_unfinishedJobs) {
-        const auto job = m_jobs.find(id);
-        if (job == m_jobs.end())
-            continue;
-        auto &[unfinished, idle] = queues[job->second.spec().queue];
-        ++unfinished;
-        idle += job->second.activeRuns() == 0 ? 1 : 0;
-    }
-    std::string lengths;
-    for (const auto &[queue, jobs] : queues)
-        lengths += (lengths.empty() ? "" : ", ") + queue + " " + std::to_string(jobs.first) +
-                   " (idle " + std::to_string(jobs.second) + ")";
-    recordEvent("placement passes", {{"passes", std::to_string(counts.passes - last.passes)},
-                                     {"jobs", std::to_string(counts.jobs - last.jobs)},
-                                     {"searches", std::to_string(counts.searches - last.searches)},
-                                     {"minions", std::to_string(counts.minions - last.minions)},
-                                     {"placed", std::to_string(counts.placed - last.placed)},
-                                     {"overdue", std::to_string(counts.overdue - last.overdue)},
-                                     {"unfinishedJobs", lengths}});
-}
-
 } // namespace lavenderarch
--- a/src/libdispatch/dispatch_load_test.cpp
+++ b/src/libdispatch/dispatch_load_test.cpp
@@ -185,3 +185,34 @@
     }
     CHECK(cell.activeRuns() == 3);
 }
+
+// Pattern: a search compared all minions with room for each task, so that the time of a placement
+// grew with the cell and the passes of an owner of 240 minions fell from 45 to 6 a second.
+TEST_CASE("the work of a search does not grow with the number of minions that have room")
+{
+    const auto examinedPerTask = [](int minionCount) {
+        LoadedCell cell(minionCount);
+        for (int job = 0; job < 100; ++job) {
+            cell.submit(1, Resources(500, 100, 0));
+            cell.submit(1, Resources(500, 100, 0), -1);
+        }
+        cell.settle();
+        const PlacementCounts &counts = cell.owner().placementCounts();
+        CHECK(counts.placed == 200);
+        return counts.minions / counts.placed;
+    };
+    CHECK(examinedPerTask(240) <= examinedPerTask(60));
+    CHECK(examinedPerTask(240) <= 30);
+}
+
+TEST_CASE("searches that compare few minions still spread the tasks over all of them")
+{
+    LoadedCell cell(240);
+    for (int job = 0; job < 240; ++job)
+        cell.submit(1, Resources(6000, 100, 0));
+    cell.settle();
+    int busiest = 0;
+    for (const auto &[agent, view] : cell.owner().minions())
+        busiest = std::max(busiest, static_cast<int>(view.runs.size()));
+    CHECK(busiest == 1);
+}
--- /dev/null
+++ b/src/libdispatch/kept_room_test.cpp
@@ -0,0 +1,114 @@
+// Tests of large long-running tasks in a cell whose room short tasks take.
+#include "loaded_cell.h"
+
+#include <doctest/doctest.h>
+
+using namespace lavenderarch;
+using lavenderarch::testing::LoadedCell;
+
+namespace {
+
+constexpr int minions = 4;
+constexpr int slots = 16; // tasks of one processor that fit on a minion
+
+/// Ends one short task after the other while new ones arrive, for `rounds` times 20 ms.
+void playShortTasks(LoadedCell &cell, int rounds)
+{
+    for (int round = 0; round < rounds; ++round) {
+        cell.endRun(cell.activeRun(static_cast<std::size_t>(round) * 7));
+        cell.submit(1, Resources(1000, 100, 0));
+        cell.advance(Milliseconds(20));
+        if (round % 12 == 0) {
+            for (std::size_t index = 0; index < minions; ++index)
+                cell.report(index);
+            cell.tick();
+        }
+        cell.settle();
+    }
+}
+
+std::size_t servingRuns(const LoadedCell &cell)
+{
+    std::size_t count = 0;
+    for (const auto &[agent, view] : cell.owner().minions())
+        count += view.serving.size();
+    return count;
+}
+
+LoadedCell fullCell()
+{
+    LoadedCell cell(minions);
+    for (int job = 0; job < minions * slots; ++job)
+        cell.submit(1, Resources(1000, 100, 0));
+    cell.settle();
+    REQUIRE(cell.activeRuns() == minions * slots);
+    return cell;
+}
+
+} // namespace
+
+// Pattern: bin fragmentation. Short tasks took each processor as it became free, so that a
+// long-running task of ten processors waited for tens of seconds beside hundreds of free ones.
+TEST_CASE("a large long-running task finds room under a steady load of short tasks")
+{
+    LoadedCell cell = fullCell();
+    cell.submit(1, Resources(10'000, 1000, 0), 9);
+    cell.settle();
+    REQUIRE(servingRuns(cell) == 0);
+    playShortTasks(cell, 150);
+    CHECK(servingRuns(cell) == 1);
+    // The short tasks have the rest again.
+    playShortTasks(cell, 20);
+    for (const auto &[agent, view] : cell.owner().minions()) {
+        CHECK(view.keptForJob.empty());
+        CHECK(view.keptRoom == Resources());
+    }
+}
+
+TEST_CASE("room is kept on few minions at a time, so that short tasks go on")
+{
+    LoadedCell cell = fullCell();
+    cell.submit(8, Resources(16'000, 1000, 0), 9); // needs four whole minions, and waits for more
+    cell.settle();
+    for (int round = 0; round < 40; ++round) {
+        playShortTasks(cell, 12);
+        int kept = 0;
+        for (const auto &[agent, view] : cell.owner().minions())
+            kept += view.keptForJob.empty() ? 0 : 1;
+        CHECK(kept <= 1);
+    }
+}
+
+TEST_CASE("no room is kept where a long-running task cannot run even without short ones")
+{
+    LoadedCell cell(minions);
+    cell.submit(4, Resources(12'000, 1000, 0), 9); // one on each minion
+    cell.settle();
+    REQUIRE(servingRuns(cell) == 4);
+    cell.submit(1, Resources(6000, 1000, 0), 9);
+    cell.settle();
+    cell.tick();
+    for (const auto &[agent, view] : cell.owner().minions())
+        CHECK(view.keptForJob.empty());
+    cell.submit(1, Resources(4000, 100, 0));
+    const std::size_t before = cell.activeRuns();
+    cell.settle();
+    CHECK(cell.activeRuns() == before + 1);
+}
+
+TEST_CASE("the room that was kept is free again once its job is cancelled")
+{
+    LoadedCell cell = fullCell();
+    cell.submit(1, Resources(10'000, 1000, 0), 9);
+    cell.settle();
+    cell.tick();
+    std::string job;
+    for (const auto &[agent, view] : cell.owner().minions())
+        job = view.keptForJob.empty() ? job : view.keptForJob;
+    REQUIRE_FALSE(job.empty());
+    cell.owner().applyJobRow({cells::cancelKey("svc", job), "{}", 2, false}, cell.now());
+    cell.settle();
+    cell.tick();
+    for (const auto &[agent, view] : cell.owner().minions())
+        CHECK(view.keptForJob.empty());
+}
--- a/src/libdispatch/placement.cpp
+++ b/src/libdispatch/placement.cpp
@@ -74,19 +74,50 @@
     return 2 * static_cast<double>(sameImage) / static_cast<double>(view.serving.size()) - 1;
 }
 
-/// Checks all placement constraints except the expected pace of a best-effort task.
-bool isEligible(const MinionView &view, const PlacementRequest &request, BootTime now)
+/// Checks the placement constraints that do not depend on the room on the minion.
+PlacementObstacle lastingObstacle(const MinionView &view, const PlacementRequest &request,
+                                  BootTime now)
 {
     const MinionFacts &facts = view.facts;
     if (!view.registered || !view.reachable || facts.draining || !isFresh(view, now) ||
         view.noRoomUntil != BootTime{})
-        return false;
+        return PlacementObstacle::Unavailable;
     if (facts.service != request.job->service ||
         request.closedDataCentres->count(facts.dataCentre) != 0)
-        return false;
+        return PlacementObstacle::Excluded;
     if (!request.step->requiredLabel.empty() && !hasLabel(view, request.step->requiredLabel))
-        return false;
-    return (committedResources(view) + reservedDemand(*request.step)).fitsInto(facts.capacity);
+        return PlacementObstacle::Excluded;
+    return PlacementObstacle::None;
+}
+
+/// Checks all placement constraints except the expected pace of a best-effort task.
+PlacementObstacle hardObstacle(const MinionView &view, const PlacementRequest &request,
+                               BootTime now)
+{
+    const MinionFacts &facts = view.facts;
+    const PlacementObstacle lasting = lastingObstacle(view, request, now);
+    if (lasting != PlacementObstacle::None)
+        return lasting;
+    const bool keptForOther = !view.keptForJob.empty() && view.keptForJob != request.job->id;
+    const Resources total = committedResources(view) + reservedDemand(*request.step) +
+                            (keptForOther ? view.keptRoom : Resources());
+    if (total.fitsInto(facts.capacity))
+        return PlacementObstacle::None;
+    if (total.milliCores() > facts.capacity.milliCores())
+        return PlacementObstacle::Processors;
+    return total.memoryMib() > facts.capacity.memoryMib() ? PlacementObstacle::Memory
+                                                          : PlacementObstacle::Accelerators;
+}
+
+bool isEligible(const MinionView &view, const PlacementRequest &request, BootTime now)
+{
+    return hardObstacle(view, request, now) == PlacementObstacle::None;
+}
+
+/// A best-effort task must not run at `pace` on the minion.
+bool isTooSlow(const MinionView &view, const PlacementRequest &request, double pace)
+{
+    return !request.idleJob && (view.tailTargetExceeded || pace < minPace);
 }
 
 /// Thousandths of a core that the best-effort runs would use at full pace.
@@ -195,6 +226,44 @@
     return weights;
 }
 
+std::string_view obstacleName(PlacementObstacle obstacle)
+{
+    switch (obstacle) {
+    case PlacementObstacle::None:
+        return "none";
+    case PlacementObstacle::Unavailable:
+        return "unavailable";
+    case PlacementObstacle::Excluded:
+        return "excluded";
+    case PlacementObstacle::Processors:
+        return "processors";
+    case PlacementObstacle::Memory:
+        return "memory";
+    case PlacementObstacle::Accelerators:
+        return "accelerators";
+    case PlacementObstacle::Pace:
+        break;
+    }
+    return "pace";
+}
+
+bool fitsBesideLongRunning(const MinionView &view, const PlacementRequest &request, BootTime now)
+{
+    return lastingObstacle(view, request, now) == PlacementObstacle::None &&
+           (view.usedByLongRunning + reservedDemand(*request.step)).fitsInto(view.facts.capacity);
+}
+
+PlacementObstacle placementObstacle(const MinionView &view, const PlacementRequest &request,
+                                    BootTime now)
+{
+    const PlacementObstacle obstacle = hardObstacle(view, request, now);
+    if (obstacle != PlacementObstacle::None || !request.step->bestEffort)
+        return obstacle;
+    return isTooSlow(view, request, expectedPace(view, *request.step, *request.tailModel))
+               ? PlacementObstacle::Pace
+               : PlacementObstacle::None;
+}
+
 std::optional<double> placementScore(const MinionView &view, const PlacementRequest &request,
                                      BootTime now)
 {
@@ -204,7 +273,7 @@
     double score = 0;
     if (step.bestEffort) {
         const double pace = expectedPace(view, step, *request.tailModel);
-        if (!request.idleJob && (view.tailTargetExceeded || pace < minPace))
+        if (isTooSlow(view, request, pace))
             return std::nullopt;
         score = bestEffortScore(view, request, pace);
     } else {
--- a/src/libdispatch/placement.h
+++ b/src/libdispatch/placement.h
@@ -7,6 +7,7 @@
 #include "lavenderarch/dispatch/task_state.h"
 
 #include <optional>
+#include <string_view>
 
 namespace lavenderarch {
 
@@ -29,6 +30,27 @@
     bool idleJob = false;
 };
 
+/// Why a task must not run on a minion now.
+enum class PlacementObstacle {
+    None,
+    Unavailable, ///< the minion is silent, draining or about to report runs that are not known
+    Excluded,    ///< another service, an evacuated data centre or a missing label
+    Processors,
+    Memory,
+    Accelerators,
+    Pace, ///< a best-effort task would be too slow, or slow serving tasks down too much
+};
+
+/// Name of the obstacle in log lines.
+std::string_view obstacleName(PlacementObstacle obstacle);
+
+/// Does not check maxPerMinion.
+PlacementObstacle placementObstacle(const MinionView &view, const PlacementRequest &request,
+                                    BootTime now);
+
+/// True when the minion may run the task once all tasks there have ended but the long-running ones.
+bool fitsBesideLongRunning(const MinionView &view, const PlacementRequest &request, BootTime now);
+
 /// Resources that a task of `step` reserves on a minion. Best-effort tasks reserve no processors,
 /// because they use only those that other tasks leave idle.
 Resources reservedDemand(const StepSpec &step);
