Placement: best-effort tasks try other headrooms each 500 ms, and an expected pace costs less

Each observation of a serving task, 530 a second with 240 minions, let all waiting best-effort tasks try its minion again with the next pass, and each trial looked up the weights of all pairs of images on the minion. Change: new headrooms are used each 500 ms, as often as the figures of one minion change; what the best-effort runs leave of each serving task's headroom is kept in the view and updated when the runs, the headroom or the weights change. Ruled out: the number of waiting jobs (250 tried a pass), reports in the log (one a second). Test: 'waiting best-effort tasks try minions with other headrooms once a tick, not each pass' (pattern: retry storm).

--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -177,8 +177,7 @@
                              const TaskState &task, BootTime now, bool idleJob = false,
                              bool remember = true);
     void roomGained(MinionView &view);
-    void headroomGained(MinionView &view);
-    void refreshHeadrooms();
+    void refreshHeadrooms(BootTime now);
     /// Keeps room free on minions for long-running tasks that have found none.
     void keepRoom(BootTime now);
     std::size_t keepRoomFor(const JobModel &job, const JobModel::WaitingStep &waiting, BootTime now,
@@ -220,6 +219,7 @@
     std::string m_searchFrom;                       // agent with which the next search begins
     std::int64_t m_roomVersion = 1;                 // increases when a minion gains room
     std::int64_t m_triedRoomVersion = 0;            // in which all of m_waitingJobs have been tried
+    BootTime m_nextHeadrooms{};                     // earliest time of the next use of headrooms
     std::int64_t m_triedObservations = 0;           // observations of m_tailModel at that time
     std::vector<std::string> m_dirty;               // jobs to store, oldest change first
     std::set<std::string> m_dirtySet;               // the same jobs
--- a/src/include/lavenderarch/dispatch/minion_view.h
+++ b/src/include/lavenderarch/dispatch/minion_view.h
@@ -54,10 +54,12 @@
     std::map<RunKey, BestEffortRun> bestEffort; ///< best-effort runs
     /// Shares of the processors that `bestEffort` would use at full pace, by image.
     BestEffortShares fullPaceShares;
+    std::int64_t bestEffortMilliCores = 0; ///< thousandths of a core that they would use then
     /// Versions of the room (see FailedSearches) when the minion last gained room for all tasks,
     /// and headroom for best-effort tasks.
     std::int64_t roomVersion = 0;
     std::int64_t headroomVersion = 0;
+    bool headroomGained = false;     ///< since headroomVersion was set
     bool tailTargetExceeded = false; ///< a serving run exceeds its tail latency target
     BootTime nextObservation{};      ///< earliest time of the next model update
     BootTime nextStallCheck{};       ///< no run counts as stalled before this time
--- a/src/include/lavenderarch/dispatch/serving_run.h
+++ b/src/include/lavenderarch/dispatch/serving_run.h
@@ -14,6 +14,8 @@
     TailHeadroom headroom;
     /// Moving average of the baseline headroom over some seconds; 0: not known yet.
     double averageHeadroom = 0;
+    /// What the best-effort runs on the minion would leave of it above the target at full pace.
+    double freeHeadroom = 0;
 };
 
 } // namespace lavenderarch
--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -336,7 +336,7 @@
             markDirty(job);
     }
     keepRoom(now);
-    refreshHeadrooms();
+    refreshHeadrooms(now);
 }
 
 } // namespace lavenderarch
--- a/src/libdispatch/cell_dispatcher_placement.cpp
+++ b/src/libdispatch/cell_dispatcher_placement.cpp
@@ -18,6 +18,8 @@
 /// Minions with room that a search compares. The best of so many is nearly as good as the best of
 /// all, and the time of a search does not grow with the size of the cell.
 constexpr std::size_t enoughCandidates = 24;
+/// Time between two uses of new headrooms. A minion's figures change each half second.
+constexpr Milliseconds headroomInterval{500};
 /// Value of TaskState::startOrder while the start waits for its commit.
 constexpr std::int64_t unreleased = -1;
 
@@ -44,7 +46,7 @@
         view.serving[run].image = step.image;
     if (step.bestEffort) {
         view.bestEffort[run] = {step.image, step.demand.milliCores()};
-        view.fullPaceShares = fullPaceShares(view);
+        updateBestEffort(view, m_tailModel);
     }
     view.weightsDue = true;
 }
@@ -58,30 +60,32 @@
         view.usedByLongRunning = view.usedByLongRunning - reservedDemand(step);
     view.serving.erase(run);
     if (view.bestEffort.erase(run) != 0)
-        view.fullPaceShares = fullPaceShares(view);
+        updateBestEffort(view, m_tailModel);
 }
 
 void CellDispatcher::roomGained(MinionView &view)
 {
-    // The capacity may have changed.
-    view.fullPaceShares = fullPaceShares(view);
+    updateBestEffort(view, m_tailModel); // the capacity may have changed
     view.roomVersion = ++m_roomVersion;
     m_placementDue = true;
 }
 
-/// Does not start a pass, because headrooms change with each observation.
-void CellDispatcher::headroomGained(MinionView &view)
+/// Lets the next pass try best-effort tasks where headrooms have changed since they were last used,
+/// or on all minions if the weights have changed. Headrooms change with each observation, so that
+/// each pass would repeat the searches of all waiting tasks.
+void CellDispatcher::refreshHeadrooms(BootTime now)
 {
-    view.headroomVersion = ++m_roomVersion;
-}
-
-/// Lets the next pass try best-effort tasks on all minions if the weights have changed.
-void CellDispatcher::refreshHeadrooms()
-{
-    if (m_tailModel.observationCount() != m_triedObservations) {
-        m_triedObservations = m_tailModel.observationCount();
-        for (auto &[agent, view] : m_minions)
-            headroomGained(view);
+    if (now < m_nextHeadrooms)
+        return;
+    m_nextHeadrooms = now + headroomInterval;
+    const bool weightsChanged =
+        std::exchange(m_triedObservations, m_tailModel.observationCount()) !=
+        m_tailModel.observationCount();
+    for (auto &[agent, view] : m_minions) {
+        if (!std::exchange(view.headroomGained, false) && !weightsChanged)
+            continue;
+        updateBestEffort(view, m_tailModel);
+        view.headroomVersion = ++m_roomVersion;
     }
     m_placementDue = m_placementDue || m_roomVersion != m_triedRoomVersion;
 }
--- a/src/libdispatch/cell_dispatcher_watch.cpp
+++ b/src/libdispatch/cell_dispatcher_watch.cpp
@@ -67,7 +67,7 @@
                 : run.headroom.baseline;
     }
     if (observationDue || (exceededBefore && !view.tailTargetExceeded))
-        headroomGained(view);
+        view.headroomGained = true;
     if (!observationDue)
         return;
     view.nextObservation = now + tailInterval;
--- a/src/libdispatch/dispatch_load_test.cpp
+++ b/src/libdispatch/dispatch_load_test.cpp
@@ -216,3 +216,35 @@
         busiest = std::max(busiest, static_cast<int>(view.runs.size()));
     CHECK(busiest == 1);
 }
+
+// Pattern: retry storm. Each observation of a serving task let every waiting best-effort task try
+// its minion again with the next pass, so that the passes of a loaded owner took 150 ms.
+TEST_CASE("waiting best-effort tasks try minions with other headrooms once a tick, not each pass")
+{
+    constexpr int minionCount = 60;
+    LoadedCell cell(minionCount);
+    for (int minion = 0; minion < minionCount; ++minion)
+        cell.submit(1, Resources(12'000, 1000, 0), 9, minion % 5);
+    cell.settle();
+    for (int job = 0; job < 100; ++job)
+        cell.submit(4, Resources(6000, 100, 0), -1, job % 10);
+    const auto reportAll = [&] {
+        cell.advance(Milliseconds(500));
+        for (std::size_t index = 0; index < minionCount; ++index)
+            cell.report(index, {}, 8);
+    };
+    for (int round = 0; round < 10; ++round) {
+        reportAll();
+        cell.tick();
+        cell.settle();
+    }
+    const std::int64_t before = cell.owner().placementCounts().minions;
+    const std::int64_t passes = cell.owner().placementCounts().passes;
+    for (int round = 0; round < 10; ++round) {
+        reportAll();
+        cell.submit(1, Resources(100, 10, 0)); // calls for a pass
+        cell.settle();
+    }
+    CHECK(cell.owner().placementCounts().passes >= passes + 10);
+    CHECK(cell.owner().placementCounts().minions - before <= 10 * minionCount);
+}
--- a/src/libdispatch/placement.cpp
+++ b/src/libdispatch/placement.cpp
@@ -120,15 +120,6 @@
     return !request.idleJob && (view.tailTargetExceeded || pace < minPace);
 }
 
-/// Thousandths of a core that the best-effort runs would use at full pace.
-std::int64_t bestEffortMilliCores(const MinionView &view)
-{
-    std::int64_t sum = 0;
-    for (const auto &[run, bestEffort] : view.bestEffort)
-        sum = saturatingSum(sum, bestEffort.milliCores);
-    return sum;
-}
-
 /// Thousandths of a core that no regular or serving task has reserved.
 std::int64_t unreservedMilliCores(const MinionView &view)
 {
@@ -138,7 +129,7 @@
 double bestEffortScore(const MinionView &view, const PlacementRequest &request, double pace)
 {
     const std::int64_t spareMilliCores =
-        saturatingDifference(unreservedMilliCores(view), bestEffortMilliCores(view));
+        saturatingDifference(unreservedMilliCores(view), view.bestEffortMilliCores);
     return paceWeight * pace + share(spareMilliCores, view.facts.capacity.milliCores()) -
            headroomLossWeight * worstLossShare(view, *request.step, *request.tailModel);
 }
@@ -159,7 +150,7 @@
     const double memory =
         share((capacity - committedResources(view)).memoryMib(), capacity.memoryMib());
     return std::min(cores, memory) + (view.serving.empty() ? 0 : servingMinionBonus) -
-           share(bestEffortMilliCores(view), capacity.milliCores());
+           share(view.bestEffortMilliCores, capacity.milliCores());
 }
 
 } // namespace
@@ -170,12 +161,18 @@
             step.demand.accelerators()};
 }
 
-BestEffortShares fullPaceShares(const MinionView &view)
+void updateBestEffort(MinionView &view, const TailModel &tailModel)
 {
-    BestEffortShares shares;
-    for (const auto &[run, bestEffort] : view.bestEffort)
-        shares[bestEffort.image] += share(bestEffort.milliCores, view.facts.capacity.milliCores());
-    return shares;
+    view.fullPaceShares.clear();
+    view.bestEffortMilliCores = 0;
+    for (const auto &[run, bestEffort] : view.bestEffort) {
+        view.fullPaceShares[bestEffort.image] +=
+            share(bestEffort.milliCores, view.facts.capacity.milliCores());
+        view.bestEffortMilliCores = saturatingSum(view.bestEffortMilliCores, bestEffort.milliCores);
+    }
+    for (auto &[run, serving] : view.serving)
+        serving.freeHeadroom = serving.averageHeadroom - targetHeadroom -
+                               tailModel.headroomLoss(serving.image, view.fullPaceShares);
 }
 
 RunOrder makeOrder(OrderKind kind, const RunKey &run, const StepSpec &step)
@@ -199,15 +196,13 @@
     if (capacity <= 0 || wanted <= 0)
         return 1;
     const double used = peakUsedShare * static_cast<double>(committedResources(view).milliCores());
-    double pace = (capacity - used - static_cast<double>(bestEffortMilliCores(view))) / wanted;
+    double pace = (capacity - used - static_cast<double>(view.bestEffortMilliCores)) / wanted;
     for (const auto &[run, serving] : view.serving) {
         if (serving.averageHeadroom <= 0)
             continue;
         const double loss = tailModel.weight(step.image, serving.image) * wanted / capacity;
-        const double free = serving.averageHeadroom - targetHeadroom -
-                            tailModel.headroomLoss(serving.image, view.fullPaceShares);
-        if (loss > free)
-            pace = std::min(pace, free / loss);
+        if (loss > serving.freeHeadroom)
+            pace = std::min(pace, serving.freeHeadroom / loss);
     }
     return std::clamp(pace, 0.0, 1.0);
 }
@@ -303,7 +298,7 @@
         return !view.tailTargetExceeded && expectedPace(view, step, *request.tailModel) >= 1;
     const Resources reserved = committedResources(view) + step.demand;
     return peakUsedShare * static_cast<double>(reserved.milliCores()) +
-               static_cast<double>(bestEffortMilliCores(view)) <=
+               static_cast<double>(view.bestEffortMilliCores) <=
            static_cast<double>(view.facts.capacity.milliCores());
 }
 
--- a/src/libdispatch/placement.h
+++ b/src/libdispatch/placement.h
@@ -72,8 +72,10 @@
 /// Weights of all pairs of a best-effort and a serving image on the minion.
 std::vector<TailWeight> tailWeights(const MinionView &view, const TailModel &tailModel);
 
-/// The value of MinionView::fullPaceShares for the best-effort runs of `view`.
-BestEffortShares fullPaceShares(const MinionView &view);
+/// Updates what follows from the best-effort and serving runs of `view`: fullPaceShares,
+/// bestEffortMilliCores and the headroom that is free. Called when one of them, a headroom or the
+/// capacity has changed, since many searches use the result.
+void updateBestEffort(MinionView &view, const TailModel &tailModel);
 
 /// Score of the minion for the task, higher is better; nullopt when it must not run the task now.
 /// Does not check maxPerMinion.
