Placement: long-running tasks leave short ones the room that they need

Change: the owner measures what short tasks need, running and waiting, at most in the last seconds; long-running tasks leave that and a fifth more, at most a tenth of the cell. They take all while there are no short tasks. Weighed: short tasks first in the order (they still find no processor once all are taken), preemption of long-running tasks (their budget of disruptions), a rejection of long-running jobs that do not fit (entries do not know the room yet). Tests, pattern starvation by residents: three cases in kept_room_test.

--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -15,6 +15,7 @@
 #include "lavenderarch/storage/row.h"
 
 #include <deque>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <set>
@@ -178,6 +179,10 @@
                              bool remember = true);
     void roomGained(MinionView &view);
     void refreshHeadrooms(BootTime now);
+    /// Measures how many processors long-running tasks may take so that short ones find room.
+    void updateLongRunningLimit(BootTime now);
+    bool mayRunLong(const StepSpec &step) const;
+    std::int64_t waitingShortMilliCores() const;
     /// Keeps room free on minions for long-running tasks that have found none.
     void keepRoom(BootTime now);
     std::size_t keepRoomFor(const JobModel &job, const JobModel::WaitingStep &waiting, BootTime now,
@@ -216,6 +221,11 @@
     /// become final since.
     std::set<std::tuple<int, BootTime, std::string>> m_overdueTimes;
     FailedSearches m_failedSearches;
+    // Thousandths of a core: what short tasks have needed at most in the last seconds, what
+    // long-running tasks reserve, and what they may reserve.
+    std::int64_t m_shortMilliCores = 0;
+    std::int64_t m_longRunningMilliCores = 0;
+    std::int64_t m_longRunningLimit = std::numeric_limits<std::int64_t>::max();
     std::string m_searchFrom;                       // agent with which the next search begins
     std::int64_t m_roomVersion = 1;                 // increases when a minion gains room
     std::int64_t m_triedRoomVersion = 0;            // in which all of m_waitingJobs have been tried
--- a/src/libdispatch/cell_dispatcher_kept_room.cpp
+++ b/src/libdispatch/cell_dispatcher_kept_room.cpp
@@ -1,5 +1,6 @@
-// Room that is kept free for long-running tasks. Short tasks take each small room at once, so that
-// a task that needs a larger one would never find it under load.
+// Division of the room between long-running and short tasks. Short tasks take each small room at
+// once, so that a long-running task that needs a larger one would never find it under load; and
+// long-running tasks stay, so that they would leave short ones no room.
 #include "lavenderarch/dispatch/cell_dispatcher.h"
 
 #include "placement.h"
@@ -12,9 +13,59 @@
 
 /// Most minions on which room is kept, as a share of all and at least one.
 constexpr std::size_t minionsPerKeptRoom = 12;
+/// Short tasks are left this part more than they have needed.
+constexpr std::int64_t shortMarginPercent = 20;
+/// Largest share of the processors that long-running tasks leave to short ones.
+constexpr std::int64_t maxShortPercent = 10;
+/// Part of the highest need that is still counted after one tick.
+constexpr std::int64_t shortDecayPercent = 97;
 
 } // namespace
 
+std::int64_t CellDispatcher::waitingShortMilliCores() const
+{
+    std::int64_t sum = 0;
+    for (const auto &[key, job] : m_waitingJobs) {
+        for (const JobModel::WaitingStep &waiting : job->waitingSteps()) {
+            const StepSpec &step = job->spec().steps[waiting.step];
+            if (step.longRunning || step.bestEffort)
+                continue;
+            for (const TaskState &task : job->occurrences().at(waiting.occurrence)[waiting.step])
+                sum = saturatingSum(sum, task.phase == TaskPhase::Waiting ? step.demand.milliCores()
+                                                                          : 0);
+        }
+    }
+    return sum;
+}
+
+void CellDispatcher::updateLongRunningLimit(BootTime now)
+{
+    std::int64_t capacity = 0;
+    std::int64_t longRunning = 0;
+    std::int64_t needed = waitingShortMilliCores();
+    for (const auto &[agent, view] : m_minions) {
+        needed = saturatingSum(needed, (view.used - view.usedByLongRunning).milliCores());
+        if (!view.registered || view.facts.draining || !isFresh(view, now) ||
+            m_closedDataCentres.count(view.facts.dataCentre) != 0)
+            continue;
+        capacity = saturatingSum(capacity, view.facts.capacity.milliCores());
+        longRunning = saturatingSum(longRunning, view.usedByLongRunning.milliCores());
+    }
+    m_shortMilliCores = std::max(needed, m_shortMilliCores / 100 * shortDecayPercent);
+    const std::int64_t left = std::min(m_shortMilliCores / 100 * (100 + shortMarginPercent),
+                                       capacity / 100 * maxShortPercent);
+    m_longRunningMilliCores = longRunning;
+    m_longRunningLimit = capacity - left;
+}
+
+/// The first task may take nearly the whole cell.
+bool CellDispatcher::mayRunLong(const StepSpec &step) const
+{
+    return m_longRunningMilliCores == 0 ||
+           saturatingSum(m_longRunningMilliCores, reservedDemand(step).milliCores()) <=
+               m_longRunningLimit;
+}
+
 void CellDispatcher::keepRoom(BootTime now)
 {
     std::vector<MinionView *> keptBefore;
@@ -44,6 +95,8 @@
 {
     const StepSpec &step = job.spec().steps[waiting.step];
     const Resources demand = reservedDemand(step);
+    if (!mayRunLong(step))
+        return 0;
     std::size_t waitingTasks = 0;
     std::map<std::string, int> sameStep; // tasks of the step by agent
     for (const TaskState &task : job.occurrences().at(waiting.occurrence)[waiting.step]) {
--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -335,6 +335,7 @@
         if (job.addDueOccurrences(timeOfDayMs))
             markDirty(job);
     }
+    updateLongRunningLimit(now);
     keepRoom(now);
     refreshHeadrooms(now);
 }
--- a/src/libdispatch/cell_dispatcher_placement.cpp
+++ b/src/libdispatch/cell_dispatcher_placement.cpp
@@ -169,6 +169,9 @@
     for (std::size_t index = 0; index < tasks.size() && placed < budget; ++index) {
         if (tasks[index].phase != TaskPhase::Waiting)
             continue;
+        const StepSpec &spec = job.spec().steps[step];
+        if (spec.longRunning && !mayRunLong(spec))
+            break;
         const PlacementRequest request{&job.spec(),   &job.spec().steps[step],
                                        &tasks[index], &m_closedDataCentres,
                                        &m_tailModel,  false};
@@ -320,6 +323,9 @@
     order.payload = job.spec().payload;
     order.checkpoint = task.checkpoint;
     attach(view, step, order.run);
+    if (step.longRunning)
+        m_longRunningMilliCores =
+            saturatingSum(m_longRunningMilliCores, reservedDemand(step).milliCores());
     if (view.keptForJob == job.spec().id) { // the task takes the room that was kept
         view.keptForJob.clear();
         view.keptRoom = Resources();
--- a/src/libdispatch/kept_room_test.cpp
+++ b/src/libdispatch/kept_room_test.cpp
@@ -112,3 +112,60 @@
     for (const auto &[agent, view] : cell.owner().minions())
         CHECK(view.keptForJob.empty());
 }
+
+// Pattern: starvation by residents. Long-running tasks took all processors and stayed, so that
+// short tasks of the same priority waited for tens of seconds.
+TEST_CASE("long-running tasks leave the room that short tasks have needed")
+{
+    LoadedCell cell(20); // 320 processors
+    for (int job = 0; job < 24; ++job)
+        cell.submit(1, Resources(1000, 100, 0));
+    cell.settle();
+    cell.tick();
+    for (int job = 0; job < 40; ++job)
+        cell.submit(8, Resources(2000, 100, 0), 9); // 640 processors in all
+    cell.settle();
+    const auto reserved = [&] {
+        std::int64_t sum = 0;
+        for (const auto &[agent, view] : cell.owner().minions())
+            sum += view.usedByLongRunning.milliCores();
+        return sum;
+    };
+    CHECK(reserved() >= 280'000);
+    CHECK(reserved() <= 320'000 - 24'000);
+    // Short tasks that follow each other find room at once.
+    for (int round = 0; round < 100; ++round) {
+        cell.endRun(cell.activeRun(static_cast<std::size_t>(round)));
+        cell.submit(1, Resources(1000, 100, 0));
+        cell.advance(Milliseconds(20));
+        if (round % 12 == 0) {
+            for (std::size_t index = 0; index < 20; ++index)
+                cell.report(index);
+            cell.tick();
+        }
+        cell.settle();
+        CHECK(cell.activeRuns() - servingRuns(cell) == 24);
+    }
+}
+
+TEST_CASE("long-running tasks have all the room while there are no short ones")
+{
+    LoadedCell cell(20);
+    cell.tick();
+    for (int job = 0; job < 40; ++job)
+        cell.submit(8, Resources(2000, 100, 0), 9);
+    cell.settle();
+    CHECK(servingRuns(cell) == 160);
+}
+
+TEST_CASE("a backlog of short tasks keeps no more than a tenth of the room from long-running ones")
+{
+    LoadedCell cell(20);
+    for (int job = 0; job < 2000; ++job)
+        cell.submit(1, Resources(1000, 100, 0));
+    cell.tick();
+    for (int job = 0; job < 40; ++job)
+        cell.submit(8, Resources(2000, 100, 0), 9);
+    cell.settle();
+    CHECK(servingRuns(cell) >= 140);
+}
--- a/src/libhttp/percent_encode.cpp
+++ b/src/libhttp/percent_encode.cpp
@@ -20,9 +20,8 @@
         return text;
     constexpr int formEncoding = 0; // '+' stands for itself in a path
     std::string decoded(text.size() + 1, '\0');
-    const int length =
-        mg_url_decode(text.c_str(), static_cast<int>(text.size()), decoded.data(),
-                      static_cast<int>(decoded.size()), formEncoding);
+    const int length = mg_url_decode(text.c_str(), static_cast<int>(text.size()), decoded.data(),
+                                     static_cast<int>(decoded.size()), formEncoding);
     decoded.resize(length > 0 ? static_cast<std::size_t>(length) : 0);
     return decoded;
 }
