Placement: best-effort tasks compare more minions, and use new headrooms sooner in small cells

Change: a search for a best-effort task compares 96 minions (all of a cell of 66), and new headrooms are used after 2 ms for each minion of the cell (480 ms with 240, 22 ms with 11) instead of 500 ms everywhere.

--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -178,7 +178,7 @@
                              const TaskState &task, BootTime now, bool idleJob = false,
                              bool remember = true);
     void roomGained(MinionView &view);
-    void refreshHeadrooms(BootTime now);
+    void useNewHeadrooms(BootTime now);
     /// Measures how many processors long-running tasks may take so that short ones find room.
     void updateLongRunningLimit(BootTime now);
     bool mayRunLong(const StepSpec &step) const;
--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -337,7 +337,8 @@
     }
     updateLongRunningLimit(now);
     keepRoom(now);
-    refreshHeadrooms(now);
+    useNewHeadrooms(now);
+    m_placementDue = m_placementDue || m_roomVersion != m_triedRoomVersion;
 }
 
 } // namespace lavenderarch
--- a/src/libdispatch/cell_dispatcher_placement.cpp
+++ b/src/libdispatch/cell_dispatcher_placement.cpp
@@ -18,8 +18,11 @@
 /// Minions with room that a search compares. The best of so many is nearly as good as the best of
 /// all, and the time of a search does not grow with the size of the cell.
 constexpr std::size_t enoughCandidates = 24;
-/// Time between two uses of new headrooms. A minion's figures change each half second.
-constexpr Milliseconds headroomInterval{500};
+/// The same for best-effort tasks, whose pace differs more between minions.
+constexpr std::size_t enoughBestEffortCandidates = 96;
+/// Time between two uses of new headrooms for each minion of the cell, as each use lets the waiting
+/// best-effort tasks try all of them. A minion's figures change each half second.
+constexpr Milliseconds headroomIntervalPerMinion{2};
 /// Value of TaskState::startOrder while the start waits for its commit.
 constexpr std::int64_t unreleased = -1;
 
@@ -70,14 +73,14 @@
     m_placementDue = true;
 }
 
-/// Lets the next pass try best-effort tasks where headrooms have changed since they were last used,
-/// or on all minions if the weights have changed. Headrooms change with each observation, so that
-/// each pass would repeat the searches of all waiting tasks.
-void CellDispatcher::refreshHeadrooms(BootTime now)
+/// Lets best-effort tasks be tried where headrooms have changed since they were last used, or on
+/// all minions if the weights have changed. Headrooms change with each observation, so that each
+/// pass would repeat the searches of all waiting tasks.
+void CellDispatcher::useNewHeadrooms(BootTime now)
 {
     if (now < m_nextHeadrooms)
         return;
-    m_nextHeadrooms = now + headroomInterval;
+    m_nextHeadrooms = now + headroomIntervalPerMinion * m_minions.size();
     const bool weightsChanged =
         std::exchange(m_triedObservations, m_tailModel.observationCount()) !=
         m_tailModel.observationCount();
@@ -87,7 +90,6 @@
         updateBestEffort(view, m_tailModel);
         view.headroomVersion = ++m_roomVersion;
     }
-    m_placementDue = m_placementDue || m_roomVersion != m_triedRoomVersion;
 }
 
 /// Orders by priority, then by least remaining work. Under overload this lets the most jobs meet
@@ -113,6 +115,7 @@
 {
     if (m_catalog == nullptr)
         return;
+    useNewHeadrooms(now);
     ++m_placementCounts.passes;
     int budget = maxPlacementsPerPass;
     // Where no minion has gained room, only jobs that have changed can be placed.
@@ -275,6 +278,7 @@
     const bool compareAll = spec.longRunning || !spec.preferredRack.empty();
     MinionView *best = nullptr;
     double bestScore = 0;
+    const std::size_t enough = spec.bestEffort ? enoughBestEffortCandidates : enoughCandidates;
     std::size_t candidates = 0;
     auto next = m_minions.lower_bound(m_searchFrom);
     for (std::size_t left = m_minions.size(); left > 0; --left) {
@@ -294,7 +298,7 @@
             best = &view;
             bestScore = *score;
         }
-        if (++candidates >= enoughCandidates && !compareAll) {
+        if (++candidates >= enough && !compareAll) {
             m_searchFrom = agent + '\0'; // the next search begins with the minion after this one
             break;
         }
