Placement: long-running tasks that the limit held back are tried again when it rises

Found by reading the diff: a pass leaves out jobs that have not changed while no minion has gained room, and the limit rises without that. Change: the limit remembers that it held a task back; its next update calls for a pass over all waiting jobs. Test: 'long-running tasks that were held back get the room once short tasks have ended', with tasks without a tail target, as headrooms would hide it. The file on the division of the room is named after all of its content.

--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -226,6 +226,7 @@
     std::int64_t m_shortMilliCores = 0;
     std::int64_t m_longRunningMilliCores = 0;
     std::int64_t m_longRunningLimit = std::numeric_limits<std::int64_t>::max();
+    bool m_longRunningHeldBack = false;             // by the limit, since it was updated
     std::string m_searchFrom;                       // agent with which the next search begins
     std::int64_t m_roomVersion = 1;                 // increases when a minion gains room
     std::int64_t m_triedRoomVersion = 0;            // in which all of m_waitingJobs have been tried
--- a/src/libdispatch/cell_dispatcher_placement.cpp
+++ b/src/libdispatch/cell_dispatcher_placement.cpp
@@ -173,8 +173,10 @@
         if (tasks[index].phase != TaskPhase::Waiting)
             continue;
         const StepSpec &spec = job.spec().steps[step];
-        if (spec.longRunning && !mayRunLong(spec))
+        if (spec.longRunning && !mayRunLong(spec)) {
+            m_longRunningHeldBack = true;
             break;
+        }
         const PlacementRequest request{&job.spec(),   &job.spec().steps[step],
                                        &tasks[index], &m_closedDataCentres,
                                        &m_tailModel,  false};
--- a/src/libdispatch/cell_dispatcher_kept_room.cpp
+++ b/src/libdispatch/cell_dispatcher_room.cpp
@@ -56,6 +56,11 @@
                                        capacity / 100 * maxShortPercent);
     m_longRunningMilliCores = longRunning;
     m_longRunningLimit = capacity - left;
+    // No minion gains room when the limit rises, so that the next pass would leave them out.
+    if (std::exchange(m_longRunningHeldBack, false)) {
+        ++m_roomVersion;
+        m_placementDue = true;
+    }
 }
 
 /// The first task may take nearly the whole cell.
--- a/src/libdispatch/kept_room_test.cpp
+++ b/src/libdispatch/kept_room_test.cpp
@@ -148,6 +148,44 @@
     }
 }
 
+// The pass after the limit had risen left out the jobs that it had held back.
+TEST_CASE("long-running tasks that were held back get the room once short tasks have ended")
+{
+    LoadedCell cell(20); // 320 processors
+    for (int job = 0; job < 24; ++job)
+        cell.submit(1, Resources(1000, 100, 0));
+    cell.settle();
+    cell.tick();
+    StepSpec step;
+    step.count = 8;
+    step.demand = Resources(2000, 100, 0);
+    step.longRunning = true; // without a tail target, so that no headroom changes
+    for (int job = 0; job < 40; ++job)
+        cell.submit(step);
+    cell.settle();
+    REQUIRE(cell.activeRuns() < 24 + 150);
+    for (int run = 0; run < 24; ++run) { // the short tasks are the ones of one processor
+        for (std::size_t number = 0; number < cell.activeRuns(); ++number) {
+            const auto active = cell.activeRun(number);
+            const auto job = cell.owner().jobs().find(
+                active.second.task.substr(0, active.second.task.find('.')));
+            if (!job->second.spec().steps.front().longRunning) {
+                cell.endRun(active);
+                break;
+            }
+        }
+        cell.settle();
+    }
+    for (int round = 0; round < 400; ++round) {
+        cell.advance(Milliseconds(250));
+        for (std::size_t index = 0; index < 20; ++index)
+            cell.report(index);
+        cell.tick();
+        cell.settle();
+    }
+    CHECK(cell.activeRuns() == 160);
+}
+
 TEST_CASE("long-running tasks have all the room while there are no short ones")
 {
     LoadedCell cell(20);
