Placement: the room kept for short tasks is given back within seconds

Cause, from its log: 'first waiting task of the queue ... none 16' to 'none 34' minions and 62 % reserved for ten seconds: the limit counted the highest need of short tasks with 3 % less each 250 ms, which is a half after 6 s. Change: 20 % less each tick, so that most of the room is given back two seconds after the short tasks have ended. Test: 'long-running tasks that were held back get the room soon after short tasks have ended' now asks for the room within three seconds, and for all of it later as before.

--- a/src/libdispatch/cell_dispatcher_room.cpp
+++ b/src/libdispatch/cell_dispatcher_room.cpp
@@ -17,8 +17,9 @@
 constexpr std::int64_t shortMarginPercent = 20;
 /// Largest share of the processors that long-running tasks leave to short ones.
 constexpr std::int64_t maxShortPercent = 10;
-/// Part of the highest need that is still counted after one tick.
-constexpr std::int64_t shortDecayPercent = 97;
+/// Part of the highest need that is still counted after one tick, so that most of the room is given
+/// to long-running tasks two seconds after the short ones have ended.
+constexpr std::int64_t shortDecayPercent = 80;
 
 } // namespace
 
--- a/src/libdispatch/kept_room_test.cpp
+++ b/src/libdispatch/kept_room_test.cpp
@@ -148,8 +148,9 @@
     }
 }
 
-// The pass after the limit had risen left out the jobs that it had held back.
-TEST_CASE("long-running tasks that were held back get the room once short tasks have ended")
+// The pass after the limit had risen left out the jobs that it had held back, and the limit rose
+// for twenty seconds, so that long-running tasks waited beside free room.
+TEST_CASE("long-running tasks that were held back get the room soon after short tasks have ended")
 {
     LoadedCell cell(20); // 320 processors
     for (int job = 0; job < 24; ++job)
@@ -176,13 +177,18 @@
         }
         cell.settle();
     }
-    for (int round = 0; round < 400; ++round) {
-        cell.advance(Milliseconds(250));
-        for (std::size_t index = 0; index < 20; ++index)
-            cell.report(index);
-        cell.tick();
-        cell.settle();
-    }
+    const auto waitFor = [&](int seconds) {
+        for (int round = 0; round < 4 * seconds; ++round) {
+            cell.advance(Milliseconds(250));
+            for (std::size_t index = 0; index < 20; ++index)
+                cell.report(index);
+            cell.tick();
+            cell.settle();
+        }
+    };
+    waitFor(3);
+    CHECK(cell.activeRuns() >= 159);
+    waitFor(100);
     CHECK(cell.activeRuns() == 160);
 }
 
