--- a/review/stand_ins/case.py
+++ b/review/stand_ins/case.py
@@ -1,5 +1,6 @@
 """Runs a case: exit status 1 if the rule was broken, 0 if it held, 2 if it could not be run."""
 import os
+import signal
 import sys
 import traceback
 
@@ -9,6 +10,7 @@
 
 def run(folder: str, play) -> None:
     """`play(record, trouble)` returns a list of breaks of the rule."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # the processes are ended on the way out
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.add("case", folder=os.path.basename(folder), trouble=trouble)
