--- a/review/3/case.py
+++ b/review/3/case.py
@@ -53,7 +53,7 @@
             time.sleep(PAUSE_S)
         if trouble and not links[owner].silent.is_set():
             raise CannotRun("no response of the feed was long enough")
-        time.sleep(10.0)
+        time.sleep(deployment.bounds["finish_s"])
         breaks = judge(record, deployment, accepted)
         observe_recovery(record, deployment, accepted)
         return breaks
@@ -64,7 +64,8 @@
 
 
 def judge(record, deployment, accepted):
-    """At a calm time: contactMs after the channel went silent, and 3 s more."""
+    """finish_s after the end of the traffic; calm time counts from contactMs after the channel went
+    silent."""
     silent = [event["at"] for event in record.of("an open channel went silent")]
     calm = (silent[0] if silent else 0.0) + deployment.bounds["contactMs"] / 1000
     now = record.now()
