--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -31,23 +31,40 @@
     """The case could not be carried out, so that it says nothing about the rule."""
 
 
+BLOCK_PORTS = 100
+_held_blocks = []  # sockets that keep other scripts out of the blocks of this one
+_block_ports = []
+
+
 def free_ports(count: int) -> list:
-    """Free ports below the range from which the system takes those of outgoing channels."""
+    """Free ports below the range from which the system takes those of outgoing channels. They come
+    from blocks of which a script holds the first port, so that two scripts never share one."""
     with open("/proc/sys/net/ipv4/ip_local_port_range", encoding="ascii") as file:
         first_ephemeral = int(file.read().split()[0])
-    candidates = list(range(10_000, max(first_ephemeral, 12_000)))
-    random.shuffle(candidates)
+    starts = list(range(10_000, max(first_ephemeral, 12_000) - BLOCK_PORTS, BLOCK_PORTS))
+    random.shuffle(starts)
     ports = []
-    for port in candidates:
+    while len(ports) < count:
+        if not _block_ports:
+            if not starts:
+                raise CannotRun("too few free ports")
+            start = starts.pop()
+            holder = socket.socket()
+            try:
+                holder.bind((HOST, start))
+            except OSError:
+                holder.close()
+                continue
+            _held_blocks.append(holder)
+            _block_ports.extend(range(start + 1, start + BLOCK_PORTS))
+        port = _block_ports.pop()
         with socket.socket() as probe:
             try:
                 probe.bind((HOST, port))
             except OSError:
                 continue
         ports.append(port)
-        if len(ports) == count:
-            return ports
-    raise CannotRun("too few free ports")
+    return ports
 
 
 def fill(template: str, fields: dict) -> str:
@@ -268,9 +285,19 @@
         for front in range(len(self.fronts)):
             while self.state(queue, warm, front) != "done":
                 if time.monotonic() > until:
-                    raise CannotRun("a front does not answer before the disruption")
+                    raise CannotRun("a front does not answer before the disruption; "
+                                    f"ended: {self.ended()}")
                 time.sleep(0.2)
 
+    def ended(self) -> list:
+        """The programs that have ended by themselves, each with its last line of the log."""
+        found = []
+        for program in self.programs:
+            if not program.running():
+                with open(program.log_path, encoding="utf-8", errors="replace") as log:
+                    found.append((program.name, (log.read().splitlines() or [""])[-1][-200:]))
+        return found
+
     def running(self) -> list:
         return sorted(task for minion in self.minions for task in minion.running())
 
