--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -4,6 +4,7 @@
 #include "lavenderarch/dispatch/cell_commit.h"
 #include "lavenderarch/dispatch/dispatch_event.h"
 #include "lavenderarch/dispatch/dispatch_limits.h"
+#include "lavenderarch/dispatch/early_cancellations.h"
 #include "lavenderarch/dispatch/exchange_reply.h"
 #include "lavenderarch/dispatch/exchange_request.h"
 #include "lavenderarch/dispatch/failed_searches.h"
@@ -40,7 +41,7 @@
     /// Assumes that each minion holds a lease that started at `now`, since leases may have been
     /// granted between load() and then.
     void assumeLeases(BootTime now);
-    /// Applies a new or changed row of the job table.
+    /// Applies a new or changed row of the job table. Rows of the same job may come in any order.
     void applyJobRow(const Row &row, BootTime now);
     /// Restores the tail model that a previous owner stored.
     void loadTailModel(const std::string &text);
@@ -239,6 +240,7 @@
     std::map<std::string, Staged> m_staged;         // by job
     std::map<std::string, JobPhase> m_storedPhases; // phase in the state row; absent: Queued
     std::set<std::string> m_settledJobs;
+    EarlyCancellations m_earlyCancellations; // of jobs neither in m_jobs nor in m_settledJobs
     /// When each of m_settledJobs expires, earliest first.
     std::deque<std::pair<BootTime, std::string>> m_expiries;
     std::deque<std::string> m_unshrunkJobs; // settled jobs with a stored specification
--- a/src/libdispatch/cell_dispatcher.cpp
+++ b/src/libdispatch/cell_dispatcher.cpp
@@ -135,6 +135,7 @@
         return;
     // The job expired, but its row could not be removed.
     if (cells::isSettledJob(row)) {
+        m_earlyCancellations.take(row.key.key);
         keepSettled(row.key.key, now);
         return;
     }
@@ -162,6 +163,8 @@
     recordEvent(
         "job loaded from the store",
         {{"job", spec->id}, {"queue", spec->queue}, {"rowVersion", std::to_string(row.version)}});
+    if (m_earlyCancellations.take(spec->id))
+        cancelJob(spec->id, now);
 }
 
 void CellDispatcher::applyJobRow(const Row &row, BootTime now)
@@ -177,7 +180,13 @@
 void CellDispatcher::cancelJob(const std::string &id, BootTime now)
 {
     const auto found = m_jobs.find(id);
-    if (found == m_jobs.end() || found->second.cancelled() || isFinal(found->second.phase()))
+    if (found == m_jobs.end()) {
+        if (m_settledJobs.count(id) == 0 &&
+            m_earlyCancellations.add(id, now + Milliseconds(m_limits.retentionMs)))
+            recordEvent("cancellation read before its job", {{"job", id}});
+        return;
+    }
+    if (found->second.cancelled() || isFinal(found->second.phase()))
         return;
     JobModel &job = found->second;
     job.cancel();
@@ -336,6 +345,13 @@
 
 void CellDispatcher::expireEndedJobs(BootTime now)
 {
+    while (m_expiredJobs.size() < maxExpiredPerCommit) {
+        auto id = m_earlyCancellations.takeExpired(now);
+        if (!id)
+            break;
+        recordEvent("cancellation without a job expired", {{"job", *id}});
+        m_expiredJobs.push_back(*std::move(id));
+    }
     while (!m_expiries.empty() && m_expiredJobs.size() < maxExpiredPerCommit) {
         ++m_upkeepCounts.expiryChecks;
         auto &[expires, id] = m_expiries.front();
--- a/src/libdispatch/cell_faults.h
+++ b/src/libdispatch/cell_faults.h
@@ -18,11 +18,12 @@
     int lostCommit = 0;     ///< per commit: its answer is lost
     int lateReply = 0;      ///< per reply of the owner: it reaches the agent 1 to 6 s late
     int lateInbox = 0;      ///< the owner learns of changes of the inbox only after 1 to 4 s
-    int lostMessage = 0;    ///< per message of an agent: it is lost, or its reply
-    int lateMessage = 0;    ///< per message of an agent: the next one overtakes it
-    int lateCall = 0;       ///< per call to a minion: no answer; it is carried out up to 12 s late
-    int lostAnswer = 0;     ///< per call to a minion: it is carried out, but its answer is lost
-    int lostCheckIns = 0;   ///< per minion: its check-ins are lost for 3 to 20 s
+    int lostHistory = 0;  ///< per time that it learns of changes: it reads all rows in their order
+    int lostMessage = 0;  ///< per message of an agent: it is lost, or its reply
+    int lateMessage = 0;  ///< per message of an agent: the next one overtakes it
+    int lateCall = 0;     ///< per call to a minion: no answer; it is carried out up to 12 s late
+    int lostAnswer = 0;   ///< per call to a minion: it is carried out, but its answer is lost
+    int lostCheckIns = 0; ///< per minion: its check-ins are lost for 3 to 20 s
     int cancel = 0;
 };
 
--- a/src/libdispatch/simulated_cell.h
+++ b/src/libdispatch/simulated_cell.h
@@ -191,6 +191,13 @@
 
     void hearInputs()
     {
+        if (!m_unheard.empty() && chance(m_faults.lostHistory)) {
+            m_unheard.clear();
+            for (const auto &[key, row] : m_rows) {
+                if (key.table == cells::jobTable)
+                    m_unheard.push_back(key);
+            }
+        }
         for (const RowKey &key : std::exchange(m_unheard, {})) {
             if (const auto row = m_rows.find(key); row != m_rows.end())
                 m_owner->applyJobRow(row->second, m_now);
