--- a/src/include/lavenderarch/http/http_client.h
+++ b/src/include/lavenderarch/http/http_client.h
@@ -1,4 +1,4 @@
-// HTTP client based on CivetWeb with a pool of keep-alive connections per address.
+// HTTP client with a pool of keep-alive connections per address.
 #pragma once
 
 #include "lavenderarch/core/address.h"
@@ -26,9 +26,11 @@
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
-    /// Sends `request` and waits for the whole response, at most until `deadline`.
-    /// Errors: Unreachable (no byte was sent), OutcomeUnknown (sent, no response in time),
-    /// CorruptedAnswer (the response is shorter than its Content-Length or has none).
+    /// Sends `request` and waits for the whole response. Connecting, sending, the head and the body
+    /// of the response all end at `deadline`, since a peer may go silent at any byte.
+    /// Errors: Unreachable (no byte was sent), OutcomeUnknown (sent, no head of a response in
+    /// time), CorruptedAnswer (the body has no length, is too large or did not arrive whole in
+    /// time).
     StatusOr<HttpResponse> exchange(const Address &address, const HttpRequest &request,
                                     TimePoint deadline, Resend resend = Resend::Never);
     /// The same with a deadline on the monotonic BootClock.
--- a/src/include/lavenderarch/runtime/row_follower.h
+++ b/src/include/lavenderarch/runtime/row_follower.h
@@ -17,6 +17,10 @@
 inline constexpr Milliseconds followWait{1000};
 /// Time beyond followWait in which the answer must arrive.
 inline constexpr Milliseconds followSlack{700};
+/// Timeout of a call that reads changes without waiting for new ones, after an answer that could
+/// not be transferred within followSlack. The store's largest answer takes four seconds at 2
+/// Mbit/s.
+inline constexpr Milliseconds catchUpTimeout{5000};
 /// Delay before the next attempt after a failed call.
 inline constexpr Milliseconds followRetryPause{150};
 /// A follower that need not hear of each change at once leaves at least this time between its
@@ -108,7 +112,10 @@
         // changes stored after the call.
         const BootTime sentAt = BootClock::now();
         m_nextCall = sentAt + m_interval;
-        const auto changes = m_store.follow(m_table, m_version, sentAt + followWait + followSlack);
+        const auto changes =
+            m_answerCut ? m_store.changes(m_table, m_version, sentAt + catchUpTimeout)
+                        : m_store.follow(m_table, m_version, sentAt + followWait + followSlack);
+        m_answerCut = !changes.ok() && kindOf(changes.status()) == ErrorKind::CorruptedAnswer;
         if (!changes.ok() && kindOf(changes.status()) == ErrorKind::NotFound) {
             logEvent(LogLevel::Info, "follower",
                      "change history no longer available; reloading the table",
@@ -158,6 +165,7 @@
     const Milliseconds m_interval;
     BootTime m_nextCall{};      // earliest time of the next call; used by the thread only
     bool m_historyLost = false; // since the last reload; used by the thread only
+    bool m_answerCut = false;   // only a part of the last answer came; used by the thread only
     std::atomic<bool> m_loaded;
     std::atomic<bool> m_reloadRequested{false};
     std::atomic<BootTime> m_lastAnswer{BootTime{}};
--- a/src/include/lavenderarch/storage/read_partition.h
+++ b/src/include/lavenderarch/storage/read_partition.h
@@ -14,8 +14,9 @@
 /// Delay before a failed page is read again.
 inline constexpr Milliseconds pageRetryPause{150};
 
-/// All rows of the partition. A page that cannot be read is read again until `deadline`; the rows
-/// read before it are kept. Returns the last error when the deadline passes or a stop is requested.
+/// All rows of the partition. A page that cannot be read is read again until `deadline`, with twice
+/// the timeout if only a part of it came; the rows read before it are kept. Returns the last error
+/// when the deadline passes or a stop is requested.
 template <RowStore Store>
 StatusOr<RowRange> readPartition(Store &store, const std::string &table,
                                  const std::string &partition, BootTime deadline,
@@ -24,10 +25,13 @@
     RowRange all;
     std::string from;
     bool first = true;
+    Milliseconds timeout = pageTimeout;
     while (true) {
-        auto page = store.readPage(table, partition, from,
-                                   std::min(deadline, BootClock::now() + pageTimeout));
+        auto page =
+            store.readPage(table, partition, from, std::min(deadline, BootClock::now() + timeout));
         if (!page.ok()) {
+            if (kindOf(page.status()) == ErrorKind::CorruptedAnswer)
+                timeout *= 2;
             if (stop.stop_requested() || BootClock::now() + pageRetryPause >= deadline)
                 return page.status();
             std::this_thread::sleep_for(pageRetryPause);
--- a/src/include/lavenderarch/storage/row_store.h
+++ b/src/include/lavenderarch/storage/row_store.h
@@ -18,7 +18,8 @@
 /// snapshot. readPage: the first page of the rows whose key is `from` or greater. readOne: the row,
 /// version 0 when absent. changes: the changes of a table after `version`. follow: the same, but
 /// waits until `deadline` for a change. Both: NotFound when the changes since `version` are no
-/// longer kept and the rows must be read again.
+/// longer kept and the rows must be read again. Reads: CorruptedAnswer when a part of the answer
+/// has come until `deadline`, so that a longer timeout may help.
 template <typename T>
 concept RowStore = requires(T store, const std::string &text, const RowKey &key,
                             const RowTransaction &change, std::int64_t version, BootTime deadline)
--- a/src/libhttp/http_client.cpp
+++ b/src/libhttp/http_client.cpp
@@ -1,42 +1,42 @@
-// HTTP client based on CivetWeb. A connection is used by one thread at a time and returned to the
-// pool after a complete response; idle connections expire well before the keep-alive timeout of
+// HTTP client based on Boost.Beast. A connection is used by one thread at a time and returned to
+// the pool after a complete response; idle connections expire well before the keep-alive timeout of
 // the peer.
 #include "lavenderarch/http/http_client.h"
 
-#include "lavenderarch/core/boot_clock.h"
+#include "client_socket.h"
 #include "lavenderarch/core/clock.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
-#include <array>
-#include <cerrno>
-#include <civetweb.h>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <map>
 #include <mutex>
-#include <netinet/in.h>
-#include <poll.h>
-#include <sys/socket.h>
-#include <unistd.h>
 #include <vector>
 
 namespace lavenderarch {
 namespace {
 
+namespace beast = boost::beast;
+
 /// Timeout for opening a connection; the latency to a peer in the other region is 12 ms.
 constexpr Milliseconds connectTimeout{400};
 constexpr std::size_t maxIdlePerAddress = 128;
+/// Size of the buffer of a response, and of one read.
 constexpr std::size_t readChunkBytes = std::size_t{16} * 1024;
-constexpr std::size_t errorTextBytes = 256;
+/// Largest size of status line and header fields.
+constexpr std::uint32_t maxHeadBytes = 16 * 1024;
+/// Largest body, well above that of any stored object.
+constexpr std::uint64_t maxBodyBytes = std::uint64_t{64} * 1024 * 1024;
 
-struct CloseConnection
-{
-    void operator()(mg_connection *connection) const { mg_close_connection(connection); }
-};
-using ConnectionPtr = std::unique_ptr<mg_connection, CloseConnection>;
+using SocketPtr = std::unique_ptr<ClientSocket>;
+using ResponseParser = beast::http::response_parser<beast::http::string_body>;
 
 struct IdleConnection
 {
-    ConnectionPtr connection;
+    SocketPtr socket;
     BootTime expires;
 };
 
@@ -52,56 +52,37 @@
     return text;
 }
 
-int remainingMs(BootTime deadline)
+std::string textOf(beast::string_view view)
 {
-    const auto remaining = (deadline - BootClock::now()).count();
-    return static_cast<int>(std::clamp<std::int64_t>(remaining, 1, 60'000));
+    return {view.data(), view.size()};
 }
 
-/// Probes whether `address` accepts connections within `timeout`, by opening and closing
-/// one: connect in CivetWeb waits ten seconds for a peer that does not respond.
-bool acceptsConnection(const Address &address, Milliseconds timeout)
+HttpResponse responseOf(ResponseParser &parser)
 {
-    sockaddr_in target{};
-    target.sin_family = AF_INET;
-    target.sin_port = htons(address.port());
-    if (inet_pton(AF_INET, address.host().c_str(), &target.sin_addr) != 1)
-        return true; // CivetWeb reports the invalid address
-    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (socket < 0)
-        return false;
-    bool open = ::connect(socket, reinterpret_cast<sockaddr *>(&target), sizeof target) == 0;
-    if (!open && errno == EINPROGRESS) {
-        pollfd pollTarget{socket, POLLOUT, 0};
-        int error = 0;
-        socklen_t size = sizeof error;
-        open = ::poll(&pollTarget, 1, static_cast<int>(timeout.count())) == 1 &&
-               ::getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0;
-    }
-    ::close(socket);
-    return open;
+    auto message = parser.release();
+    HttpResponse response;
+    response.status = message.result_int();
+    for (const auto &field : message)
+        response.headers.set(textOf(field.name_string()), textOf(field.value()));
+    response.body = std::move(message.body());
+    return response;
 }
 
-StatusOr<std::string> readResponseBody(mg_connection *connection, long long contentLength)
+/// Reads the body after its head has been read.
+Status readBody(ClientSocket &socket, beast::flat_buffer &buffer, ResponseParser &parser)
 {
-    std::string body;
-    std::array<char, readChunkBytes> chunk;
-    while (body.size() < static_cast<std::size_t>(contentLength)) {
-        const std::size_t chunkSize =
-            std::min(chunk.size(), static_cast<std::size_t>(contentLength) - body.size());
-        const int count = mg_read(connection, chunk.data(), chunkSize);
-        if (count <= 0)
-            return makeError(ErrorKind::CorruptedAnswer,
-                             "response ended after " + std::to_string(body.size()) + " of " +
-                                 std::to_string(contentLength) + " bytes");
-        body.append(chunk.data(), static_cast<std::size_t>(count));
-    }
-    return body;
-}
-
-bool hasNoBody(int status)
-{
-    return status == 204 || status == 304;
+    // Without a length, a connection that breaks off would look like the end of the response.
+    if (parser.need_eof())
+        return makeError(ErrorKind::CorruptedAnswer, "response has no Content-Length");
+    ClientSocket::Error error;
+    beast::http::read(socket, buffer, parser, error);
+    if (!error)
+        return absl::OkStatus();
+    const auto length = parser.content_length();
+    return makeError(ErrorKind::CorruptedAnswer,
+                     "response ended after " + std::to_string(parser.get().body().size()) + " of " +
+                         (length ? std::to_string(*length) : "unknown") +
+                         " bytes: " + error.message());
 }
 
 } // namespace
@@ -117,7 +98,7 @@
     std::mutex mutex;
     std::map<Address, std::vector<IdleConnection>> idle; // guarded by mutex
 
-    ConnectionPtr takeIdle(const Address &address)
+    SocketPtr takeIdle(const Address &address)
     {
         const BootTime now = BootClock::now();
         const std::scoped_lock lock(mutex);
@@ -126,57 +107,47 @@
             IdleConnection candidate = std::move(connections.back());
             connections.pop_back();
             if (candidate.expires > now)
-                return std::move(candidate.connection);
+                return std::move(candidate.socket);
             connections.clear();
         }
         return nullptr;
     }
 
-    void putIdle(const Address &address, ConnectionPtr connection)
+    void putIdle(const Address &address, SocketPtr socket)
     {
         const BootTime expires = BootClock::now() + maxIdleTime;
         const std::scoped_lock lock(mutex);
         auto &connections = idle[address];
         if (connections.size() < maxIdlePerAddress)
-            connections.push_back({std::move(connection), expires});
-    }
-
-    static ConnectionPtr connect(const Address &address, BootTime deadline)
-    {
-        if (!acceptsConnection(address,
-                               std::min(connectTimeout, Milliseconds(remainingMs(deadline)))))
-            return nullptr;
-        std::array<char, errorTextBytes> error{};
-        return ConnectionPtr(mg_connect_client(address.host().c_str(), address.port(), 0,
-                                               error.data(), error.size()));
+            connections.push_back({std::move(socket), expires});
     }
 
     StatusOr<HttpResponse> send(const Address &address, const HttpRequest &request,
-                                BootTime deadline, ConnectionPtr connection)
+                                BootTime deadline, SocketPtr socket)
     {
-        const std::string text = formatRequestHead(address, request) + request.body;
-        const int written = mg_write(connection.get(), text.data(), text.size());
-        if (written != static_cast<int>(text.size()))
-            return makeError(ErrorKind::OutcomeUnknown, "connection closed while sending");
-        std::array<char, errorTextBytes> error{};
-        if (mg_get_response(connection.get(), error.data(), error.size(), remainingMs(deadline)) <
-            0)
+        socket->setDeadline(deadline);
+        if (const auto error = socket->send(formatRequestHead(address, request) + request.body))
+            return makeError(ErrorKind::OutcomeUnknown, "cannot send the request to " +
+                                                            address.text() + ": " +
+                                                            error.message());
+        beast::flat_buffer buffer;
+        buffer.reserve(readChunkBytes);
+        ResponseParser parser;
+        parser.header_limit(maxHeadBytes);
+        parser.body_limit(maxBodyBytes);
+        ClientSocket::Error error;
+        beast::http::read_header(*socket, buffer, parser, error);
+        if (error == beast::http::error::body_limit)
+            return makeError(ErrorKind::CorruptedAnswer, "the response is too large");
+        if (error)
             return makeError(ErrorKind::OutcomeUnknown,
-                             "no response from " + address.text() + ": " + error.data());
-        const mg_response_info *info = mg_get_response_info(connection.get());
-        HttpResponse response;
-        response.status = info->status_code;
-        for (int index = 0; index < info->num_headers; ++index)
-            response.headers.set(info->http_headers[index].name, info->http_headers[index].value);
-        const long long contentLength = hasNoBody(response.status) ? 0 : info->content_length;
-        if (contentLength < 0)
-            return makeError(ErrorKind::CorruptedAnswer, "response has no Content-Length");
-        auto body = readResponseBody(connection.get(), contentLength);
-        if (!body.ok())
-            return body.status();
-        response.body = *std::move(body);
-        if (response.headers.find("Connection").value_or("keep-alive") != "close")
-            putIdle(address, std::move(connection));
+                             "no response from " + address.text() + ": " + error.message());
+        if (Status read = readBody(*socket, buffer, parser); !read.ok())
+            return read;
+        const bool reusable = parser.keep_alive() && buffer.size() == 0;
+        HttpResponse response = responseOf(parser);
+        if (reusable)
+            putIdle(address, std::move(socket));
         return response;
     }
 };
@@ -184,7 +155,6 @@
 HttpClient::HttpClient(Milliseconds maxIdleTime)
     : m_impl(std::make_unique<Impl>(maxIdleTime))
 {
-    mg_init_library(0);
 }
 
 HttpClient::~HttpClient() = default;
@@ -198,14 +168,15 @@
 StatusOr<HttpResponse> HttpClient::exchange(const Address &address, const HttpRequest &request,
                                             BootTime deadline, Resend resend)
 {
-    ConnectionPtr pooled = m_impl->takeIdle(address);
+    SocketPtr pooled = m_impl->takeIdle(address);
     if (pooled != nullptr) {
         auto response = m_impl->send(address, request, deadline, std::move(pooled));
         const bool expired = BootClock::now() >= deadline;
         if (response.ok() || resend == Resend::Never || expired)
             return response;
     }
-    ConnectionPtr fresh = Impl::connect(address, deadline);
+    SocketPtr fresh =
+        ClientSocket::connect(address, std::min(deadline, BootClock::now() + connectTimeout));
     if (fresh == nullptr)
         return makeError(ErrorKind::Unreachable, "cannot connect to " + address.text());
     return m_impl->send(address, request, deadline, std::move(fresh));
--- a/src/libruntime/row_follower_test.cpp
+++ b/src/libruntime/row_follower_test.cpp
@@ -24,7 +24,30 @@
     std::atomic<int> m_calls{0};
 };
 
-void write(CountedRows &store, const std::string &key)
+/// Changes arrive whole only with a timeout of `transferTime` or more.
+class SlowChanges : public MemoryRows
+{
+public:
+    StatusOr<RowRange> follow(const std::string &table, std::int64_t version, BootTime deadline)
+    {
+        const bool slow = deadline - BootClock::now() < transferTime;
+        auto changed = MemoryRows::follow(table, version, deadline);
+        if (changed.ok() && !changed->rows.empty() && slow)
+            return makeError(ErrorKind::CorruptedAnswer, "response ended after 1 of 2 bytes");
+        return changed;
+    }
+    StatusOr<RowRange> changes(const std::string &table, std::int64_t version, BootTime deadline)
+    {
+        if (deadline - BootClock::now() < transferTime)
+            return makeError(ErrorKind::CorruptedAnswer, "response ended after 1 of 2 bytes");
+        return MemoryRows::changes(table, version, deadline);
+    }
+
+private:
+    static constexpr Milliseconds transferTime{4000};
+};
+
+void write(MemoryRows &store, const std::string &key)
 {
     const RowTransaction change{{}, {{{"t", "", key}, "v", false}}};
     REQUIRE(store.commit(change, BootClock::now() + Milliseconds(2000)).ok());
@@ -58,6 +81,22 @@
     CHECK(store.calls() <= intervals + 3);
 }
 
+// Guards against changes that are asked for again and again with a timeout in which they cannot
+// arrive.
+TEST_CASE("changes of which only a part arrives are read again with a longer timeout")
+{
+    SlowChanges store;
+    std::atomic<int> changes{0};
+    const RowFollower<SlowChanges> follower(
+        store, "t", [] { return StatusOr<ReloadedTable>(ReloadedTable{}); },
+        [&](const Row &) { ++changes; });
+    write(store, "a");
+    for (const BootTime end = BootClock::now() + Milliseconds(10'000);
+         changes == 0 && BootClock::now() < end;)
+        std::this_thread::sleep_for(Milliseconds(1));
+    CHECK(changes == 1);
+}
+
 // The exception left the follower's thread and ended the process.
 TEST_CASE("an exception of a follower's callback calls for a reload, and following goes on")
 {
