--- a/src/include/lavenderarch/runtime/job_acceptor.h
+++ b/src/include/lavenderarch/runtime/job_acceptor.h
@@ -6,6 +6,7 @@
 #include "lavenderarch/storage/row_store.h"
 #include "lavenderarch/telemetry/log.h"
 
+#include <algorithm>
 #include <condition_variable>
 #include <deque>
 #include <map>
@@ -16,7 +17,7 @@
 namespace lavenderarch {
 
 /// Maximum number of jobs in one transaction. A transaction has at most 100 entries, and each job
-/// takes three of them.
+/// takes four of them.
 inline constexpr std::size_t maxJobsPerAcceptance = 20;
 /// Maximum number of concurrent transactions of one entry.
 inline constexpr int acceptanceThreads = 3;
@@ -60,7 +61,8 @@
 
     /// Blocks until the job is stored, is known to be stored already, or cannot be stored in time.
     /// OK: the job is stored, by this call or an earlier one. StoreUnavailable: this call has not
-    /// stored it and never will. OutcomeUnknown: it may be stored, even after the call returns.
+    /// stored it and never will. Conflict: no call has stored it, and its cancellation keeps any
+    /// from doing so. OutcomeUnknown: it may be stored, even after the call returns.
     Status accept(const JobSpec &job, BootTime deadline)
     {
         auto request = std::make_shared<Request>();
@@ -132,6 +134,7 @@
             for (const RequestPtr &request : batch) {
                 const JobSpec &job = request->job;
                 change.conditions.push_back({cells::jobKey(job.service, job.id), 0});
+                change.conditions.push_back({cells::cancelKey(job.service, job.id), 0});
                 change.writes.push_back(cells::jobWrite(job.service, job));
                 change.writes.push_back(cells::queuedWrite(job.service, job));
             }
@@ -155,18 +158,22 @@
     }
 
     /// Finishes the jobs that already have a row: an earlier attempt or another entry has stored
-    /// them.
+    /// them, or they were cancelled before they were stored.
     void resolveConflicts(std::vector<RequestPtr> &batch, const RowCommit &commit)
     {
+        const auto exists = [&](const RowKey &key) {
+            return std::any_of(commit.current.begin(), commit.current.end(),
+                               [&](const Row &row) { return row.key == key && row.version != 0; });
+        };
         std::erase_if(batch, [&](const RequestPtr &request) {
-            const RowKey key = cells::jobKey(request->job.service, request->job.id);
-            for (const Row &row : commit.current) {
-                if (row.key == key && row.version != 0) {
-                    finish(request, absl::OkStatus());
-                    return true;
-                }
-            }
-            return false;
+            const JobSpec &job = request->job;
+            const bool stored = exists(cells::jobKey(job.service, job.id));
+            if (!stored && !exists(cells::cancelKey(job.service, job.id)))
+                return false;
+            finish(request, stored ? absl::OkStatus()
+                                   : makeError(ErrorKind::Conflict,
+                                               "the job was cancelled before it was accepted"));
+            return true;
         });
     }
 
--- a/src/include/lavenderarch/runtime/job_frontend.h
+++ b/src/include/lavenderarch/runtime/job_frontend.h
@@ -58,21 +58,31 @@
         return known->phase;
     }
 
-    /// OK once the cancellation is stored. NotFound when there is no such job.
+    /// OK once the cancellation is stored. NotFound when there is no such job and there will be
+    /// none: an acceptance without an answer may still be carried out by the store, unless a stored
+    /// cancellation prevents it.
     Status cancel(const std::string &cell, const std::string &job, BootTime deadline)
     {
         const auto known = phase(cell, job, deadline);
-        if (!known.ok())
+        bool accepted = known.ok();
+        if (!accepted && kindOf(known.status()) != ErrorKind::NotFound)
             return known.status();
-        if (isFinal(*known))
+        if (accepted && isFinal(*known))
             return absl::OkStatus();
-        const RowTransaction change{{}, {{cells::cancelKey(cell, job), "{}", false}}};
+        RowTransaction change{{}, {{cells::cancelKey(cell, job), "{}", false}}};
+        if (!accepted)
+            change.conditions.push_back({cells::jobKey(cell, job), 0});
         bool maybeStored = false;
         while (true) {
             const auto commit =
                 m_store.commit(change, std::min(deadline, BootClock::now() + cancelAttemptTimeout));
-            if (commit.ok())
-                return absl::OkStatus();
+            if (commit.ok() && commit->committed)
+                return accepted ? absl::OkStatus() : known.status();
+            if (commit.ok()) { // the job has been accepted since
+                accepted = true;
+                change.conditions.clear();
+                continue;
+            }
             maybeStored = maybeStored || kindOf(commit.status()) != ErrorKind::StoreUnavailable;
             if (BootClock::now() + acceptanceRetryPause >= deadline)
                 return maybeStored ? makeError(ErrorKind::OutcomeUnknown,
--- a/src/testing/memory_rows.h
+++ b/src/testing/memory_rows.h
@@ -9,6 +9,8 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <utility>
+#include <vector>
 
 namespace lavenderarch::testing {
 
@@ -19,8 +21,9 @@
 public:
     enum class Fault {
         None,
-        Refuse,      ///< the commit fails with StoreUnavailable and has no effect
-        LoseResponse ///< the commit takes effect but reports OutcomeUnknown
+        Refuse,       ///< the commit fails with StoreUnavailable and has no effect
+        LoseResponse, ///< the commit takes effect but reports OutcomeUnknown
+        Delay         ///< the commit reports OutcomeUnknown; carryOutDelayed() carries it out
     };
 
     void setFault(Fault fault)
@@ -76,6 +79,20 @@
         const std::scoped_lock lock(m_mutex);
         return m_commits;
     }
+    /// Number of calls of commit(), also of those that failed.
+    int attempts() const
+    {
+        const std::scoped_lock lock(m_mutex);
+        return m_attempts;
+    }
+
+    /// Carries out the delayed commits whose conditions hold.
+    void carryOutDelayed()
+    {
+        const std::scoped_lock lock(m_mutex);
+        for (const RowTransaction &change : std::exchange(m_delayed, {}))
+            apply(change);
+    }
 
     /// Drops the changes so far, so that followers must read the rows again.
     void forgetHistory()
@@ -95,33 +112,17 @@
     StatusOr<RowCommit> commit(const RowTransaction &change, BootTime)
     {
         std::unique_lock lock(m_mutex);
+        ++m_attempts;
         ++m_heldCommits;
         m_changed.wait(lock, [&] { return !m_heldRow || !writesRow(change, *m_heldRow); });
         --m_heldCommits;
         if (m_fault == Fault::Refuse)
             return makeError(ErrorKind::StoreUnavailable, "refused");
-        RowCommit result;
-        result.committed = true;
-        for (const RowCondition &condition : change.conditions) {
-            const auto row = m_rows.find(condition.key);
-            const std::int64_t version = row == m_rows.end() ? 0 : row->second.version;
-            result.committed = result.committed && version == condition.version;
-            if (row != m_rows.end())
-                result.current.push_back(row->second);
-        }
-        if (result.committed) {
-            ++m_commits;
-            result.version = ++m_version;
-            result.current.clear();
-            for (const RowWrite &write : change.writes) {
-                m_changes.push_back({write.key, write.value, m_version, write.remove});
-                if (write.remove)
-                    m_rows.erase(write.key);
-                else
-                    m_rows[write.key] = m_changes.back();
-            }
-            m_changed.notify_all();
+        if (m_fault == Fault::Delay) {
+            m_delayed.push_back(change);
+            return makeError(ErrorKind::OutcomeUnknown, "no answer in time");
         }
+        const RowCommit result = apply(change);
         if (m_fault == Fault::LoseResponse)
             return makeError(ErrorKind::OutcomeUnknown, "the response was lost");
         return result;
@@ -178,6 +179,34 @@
     /// Small, so that a few rows take several pages.
     static constexpr std::size_t pageRows = 3;
 
+    /// Requires m_mutex.
+    RowCommit apply(const RowTransaction &change)
+    {
+        RowCommit result;
+        result.committed = true;
+        for (const RowCondition &condition : change.conditions) {
+            const auto row = m_rows.find(condition.key);
+            const std::int64_t version = row == m_rows.end() ? 0 : row->second.version;
+            result.committed = result.committed && version == condition.version;
+            if (row != m_rows.end())
+                result.current.push_back(row->second);
+        }
+        if (result.committed) {
+            ++m_commits;
+            result.version = ++m_version;
+            result.current.clear();
+            for (const RowWrite &write : change.writes) {
+                m_changes.push_back({write.key, write.value, m_version, write.remove});
+                if (write.remove)
+                    m_rows.erase(write.key);
+                else
+                    m_rows[write.key] = m_changes.back();
+            }
+            m_changed.notify_all();
+        }
+        return result;
+    }
+
     static bool writesRow(const RowTransaction &change, const RowKey &key)
     {
         return std::any_of(change.writes.begin(), change.writes.end(),
@@ -216,11 +245,13 @@
     std::condition_variable m_changed;
     Fault m_fault = Fault::None;
     int m_commits = 0;
+    int m_attempts = 0;
     int m_failingReads = 0;
     int m_singleReads = 0;
     std::map<std::string, int> m_pageReads; // by table
     std::string m_heldTable;                // its partitions cannot be read
     std::optional<RowKey> m_heldRow;
+    std::vector<RowTransaction> m_delayed; // not carried out yet
     int m_heldCommits = 0;
     std::int64_t m_version = 0;
     std::int64_t m_oldestFollowable = 0;
