--- a/src/include/lavenderarch/runtime/inbox_writer.h
+++ b/src/include/lavenderarch/runtime/inbox_writer.h
@@ -12,6 +12,9 @@
 
 namespace lavenderarch {
 
+/// Delay between two attempts of a write.
+inline constexpr Milliseconds inboxRetryPause{500};
+
 /// Runs from construction to destruction, which drops what is not written yet. Thread-safe. Does
 /// not own the store, which must outlive it.
 template <RowStore Store>
@@ -25,9 +28,10 @@
     {
     }
 
-    /// Writes the rows of one partition later, in one transaction and after those added before.
-    /// Rows for which this fails stay until a later owner loads the cell and finds the jobs
-    /// settled.
+    /// Writes the rows of one partition later, in one transaction and after those added before. It
+    /// is repeated until the store has carried it out: a job whose row keeps its specification when
+    /// its progress expires would be taken for a new one. A transaction that the store refuses as
+    /// invalid is dropped.
     void add(std::vector<RowWrite> writes)
     {
         const std::scoped_lock lock(m_mutex);
@@ -38,20 +42,27 @@
 private:
     void run(const std::stop_token &stop)
     {
+        bool failing = false;
         while (true) {
             RowTransaction change;
             {
                 std::unique_lock lock(m_mutex);
+                if (failing)
+                    m_added.wait_for(lock, stop, inboxRetryPause, [] { return false; });
                 m_added.wait(lock, stop, [&] { return !m_changes.empty(); });
                 if (stop.stop_requested())
                     return;
-                change = std::move(m_changes.front());
-                m_changes.pop_front();
+                change = m_changes.front();
             }
             const auto done = m_store.commit(change, BootClock::now() + ownershipCallTimeout);
-            if (!done.ok())
+            if (!done.ok() && !failing)
                 logFailure("cell", "cannot write the inbox rows of ended jobs", done.status(),
                            {{"cell", m_cell}});
+            failing = !done.ok() && kindOf(done.status()) != ErrorKind::Internal;
+            if (failing)
+                continue;
+            const std::scoped_lock lock(m_mutex);
+            m_changes.pop_front();
         }
     }
 
