--- a/src/libhttp/http_client.cpp
+++ b/src/libhttp/http_client.cpp
@@ -61,7 +61,7 @@
 {
     auto message = parser.release();
     HttpResponse response;
-    response.status = message.result_int();
+    response.status = static_cast<int>(message.result_int());
     for (const auto &field : message)
         response.headers.set(textOf(field.name_string()), textOf(field.value()));
     response.body = std::move(message.body());
--- a/src/libhttp/http_deadline_test.cpp
+++ b/src/libhttp/http_deadline_test.cpp
@@ -92,7 +92,7 @@
 
 TEST_CASE("a call ends at its deadline when the peer does not read the request")
 {
-    CHECK(errorOfCall("", std::string(32'000'000, 'x')) == ErrorKind::OutcomeUnknown);
+    CHECK(errorOfCall("", std::string(8'000'000, 'x')) == ErrorKind::OutcomeUnknown);
 }
 
 // Guards against memory reserved for a length that is only announced.
