Tests: one plain job and one set of waits instead of copies in six files

Now plain_job.h and waits.h in src/testing serve all six. No test case or assertion changed; inbox_writer_test reads the number of attempts before it adds a write instead of after it, as the first attempt may be over by then.

--- a/src/libdispatch/cancellation_order_test.cpp
+++ b/src/libdispatch/cancellation_order_test.cpp
@@ -1,27 +1,19 @@
 // Tests of cancellations that the cell's owner reads before the jobs that they are for.
 #include "lavenderarch/dispatch/cell_dispatcher.h"
 #include "lavenderarch/dispatch/cell_tables.h"
+#include "plain_job.h"
 #include "simulated_seeds.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
 
 using namespace lavenderarch;
+using lavenderarch::testing::job;
 
 namespace {
 
 constexpr BootTime now{Milliseconds(10'000)};
 
-JobSpec job(const std::string &id)
-{
-    JobSpec spec;
-    spec.id = id;
-    spec.queue = "q";
-    spec.service = "svc";
-    spec.steps.emplace_back();
-    return spec;
-}
-
 Row rowOf(const RowWrite &write, std::int64_t version)
 {
     return {write.key, write.value, version, false};
--- a/src/libdispatch/odd_rows_test.cpp
+++ b/src/libdispatch/odd_rows_test.cpp
@@ -3,26 +3,18 @@
 #include "lavenderarch/dispatch/cell_tables.h"
 #include "lavenderarch/dispatch/queue_catalog.h"
 #include "lavenderarch/dispatch/run_ledger.h"
+#include "plain_job.h"
 
 #include <doctest/doctest.h>
 #include <set>
 
 using namespace lavenderarch;
+using lavenderarch::testing::job;
 
 namespace {
 
 constexpr BootTime now{Milliseconds(10'000)};
 
-JobSpec job(const std::string &id)
-{
-    JobSpec spec;
-    spec.id = id;
-    spec.queue = "q";
-    spec.service = "svc";
-    spec.steps.emplace_back();
-    return spec;
-}
-
 Row rowOf(const JobSpec &spec, std::int64_t version = 1)
 {
     return {cells::jobKey("svc", spec.id), jsonText(spec), version, false};
--- a/src/libruntime/early_cancel_test.cpp
+++ b/src/libruntime/early_cancel_test.cpp
@@ -1,30 +1,19 @@
 // Tests of cancellations of jobs whose acceptance has an unknown outcome.
 #include "lavenderarch/runtime/job_frontend.h"
 #include "memory_rows.h"
+#include "plain_job.h"
+#include "waits.h"
 
 #include <doctest/doctest.h>
 #include <future>
 
 using namespace lavenderarch;
+using lavenderarch::testing::deadlineIn;
+using lavenderarch::testing::job;
 using lavenderarch::testing::MemoryRows;
 
 namespace {
 
-JobSpec job(const std::string &id)
-{
-    JobSpec spec;
-    spec.id = id;
-    spec.queue = "q";
-    spec.service = "svc";
-    spec.steps.emplace_back();
-    return spec;
-}
-
-BootTime deadlineIn(int milliseconds)
-{
-    return BootClock::now() + Milliseconds(milliseconds);
-}
-
 bool isStored(MemoryRows &store, const RowKey &key)
 {
     return store.readOne(key, deadlineIn(1000))->version != 0;
--- a/src/libruntime/handover_test.cpp
+++ b/src/libruntime/handover_test.cpp
@@ -1,31 +1,21 @@
 // Tests of the planned handover of a cell from its owner to another process.
 #include "lavenderarch/runtime/cell_host.h"
 #include "memory_rows.h"
+#include "plain_job.h"
+#include "waits.h"
 
 #include <doctest/doctest.h>
 
 using namespace lavenderarch;
+using lavenderarch::testing::deadlineIn;
+using lavenderarch::testing::eventually;
+using lavenderarch::testing::job;
 using lavenderarch::testing::MemoryRows;
 
 namespace {
 
 using Host = CellHost<MemoryRows>;
 
-BootTime deadlineIn(int milliseconds)
-{
-    return BootClock::now() + Milliseconds(milliseconds);
-}
-
-JobSpec job(const std::string &id)
-{
-    JobSpec spec;
-    spec.id = id;
-    spec.queue = "q";
-    spec.service = "svc";
-    spec.steps.emplace_back();
-    return spec;
-}
-
 void submit(MemoryRows &store, const std::string &id)
 {
     RowTransaction change;
@@ -102,19 +92,6 @@
     std::set<RunKey> m_runs;
 };
 
-/// Polls until `condition` holds. False after ten seconds, which is far longer than any wait of
-/// these tests takes.
-template <typename Condition>
-bool eventually(Condition condition)
-{
-    for (int turn = 0; turn < 1000; ++turn) {
-        if (condition())
-            return true;
-        std::this_thread::sleep_for(Milliseconds(10));
-    }
-    return false;
-}
-
 } // namespace
 
 // Guards against runs that the next owner stops, since no agent has heard of them.
--- a/src/libruntime/inbox_writer_test.cpp
+++ b/src/libruntime/inbox_writer_test.cpp
@@ -1,34 +1,26 @@
 // Tests of the writes that an owner makes to the rows of ended jobs.
 #include "lavenderarch/runtime/inbox_writer.h"
 #include "memory_rows.h"
+#include "plain_job.h"
+#include "waits.h"
 
 #include <doctest/doctest.h>
 
 using namespace lavenderarch;
+using lavenderarch::testing::deadlineIn;
+using lavenderarch::testing::eventually;
+using lavenderarch::testing::job;
 using lavenderarch::testing::MemoryRows;
 
 namespace {
 
-JobSpec job(const std::string &id)
-{
-    JobSpec spec;
-    spec.id = id;
-    spec.queue = "q";
-    spec.service = "svc";
-    spec.steps.emplace_back();
-    return spec;
-}
-
-/// Waits up to ten seconds until the row has the value.
+/// True once the row has the value.
 bool becomes(MemoryRows &store, const RowWrite &write)
 {
-    for (int turn = 0; turn < 1000; ++turn) {
-        const auto row = store.readOne(write.key, BootClock::now() + Milliseconds(1000));
-        if (write.remove ? row->version == 0 : row->value == write.value)
-            return true;
-        std::this_thread::sleep_for(Milliseconds(10));
-    }
-    return false;
+    return eventually([&] {
+        const auto row = store.readOne(write.key, deadlineIn(1000));
+        return write.remove ? row->version == 0 : row->value == write.value;
+    });
 }
 
 } // namespace
@@ -39,14 +31,12 @@
 {
     MemoryRows store;
     const JobSpec spec = job("a");
-    REQUIRE(
-        store.commit({{}, {cells::jobWrite("svc", spec)}}, BootClock::now() + Milliseconds(1000))
-            .ok());
+    REQUIRE(store.commit({{}, {cells::jobWrite("svc", spec)}}, deadlineIn(1000)).ok());
     InboxWriter<MemoryRows> writer(store, "svc");
     for (const auto fault : {MemoryRows::Fault::Refuse, MemoryRows::Fault::Delay}) {
         store.setFault(fault);
-        writer.add({cells::settledJobWrite("svc", "a")});
         const int before = store.attempts();
+        writer.add({cells::settledJobWrite("svc", "a")});
         while (store.attempts() == before)
             std::this_thread::sleep_for(Milliseconds(1));
         store.setFault(MemoryRows::Fault::None);
--- a/src/libruntime/runtime_test.cpp
+++ b/src/libruntime/runtime_test.cpp
@@ -3,29 +3,19 @@
 #include "lavenderarch/runtime/job_frontend.h"
 #include "lavenderarch/runtime/job_state_reload.h"
 #include "memory_rows.h"
+#include "plain_job.h"
+#include "waits.h"
 
 #include <doctest/doctest.h>
 
 using namespace lavenderarch;
+using lavenderarch::testing::deadlineIn;
+using lavenderarch::testing::eventually;
+using lavenderarch::testing::job;
 using lavenderarch::testing::MemoryRows;
 
 namespace {
 
-JobSpec job(const std::string &id)
-{
-    JobSpec spec;
-    spec.id = id;
-    spec.queue = "q";
-    spec.service = "svc";
-    spec.steps.emplace_back();
-    return spec;
-}
-
-BootTime deadlineIn(int milliseconds)
-{
-    return BootClock::now() + Milliseconds(milliseconds);
-}
-
 /// Epoch in the owner row of the cell "svc".
 std::int64_t storedEpoch(MemoryRows &store)
 {
@@ -44,19 +34,6 @@
     return request;
 }
 
-/// Polls until `condition` holds. False after ten seconds, which is far longer than any wait of
-/// these tests takes.
-template <typename Condition>
-bool eventually(Condition condition)
-{
-    for (int turn = 0; turn < 1000; ++turn) {
-        if (condition())
-            return true;
-        std::this_thread::sleep_for(Milliseconds(10));
-    }
-    return false;
-}
-
 } // namespace
 
 TEST_CASE("a job is stored once, however often it is submitted")
