--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -33,14 +34,43 @@
     """The case has found no verdict."""
 
 
-def free_ports(count: int) -> List[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+class Ports:
+    """A block of ports below those of outgoing connections. The first one stays bound, so that
+    two runs beside each other take different blocks."""
+
+    SIZE = 64
+
+    def __init__(self) -> None:
+        blocks = list(range(16000, 32000, self.SIZE))
+        random.shuffle(blocks)
+        for first in blocks:
+            self._guard = socket.socket()
+            try:
+                self._guard.bind(("127.0.0.1", first))
+            except OSError:
+                self._guard.close()
+                continue
+            self._left = [port for port in range(first + 1, first + self.SIZE) if is_free(port)]
+            return
+        raise CaseCannotRun("no free ports")
+
+    def take(self) -> int:
+        if not self._left:
+            raise CaseCannotRun("too few free ports")
+        return self._left.pop(0)
+
+    def close(self) -> None:
+        self._guard.close()
+
+
+def is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 def route(name: str, prefix: str, priority: int = 0, attempts: int = 2,
@@ -91,41 +121,45 @@
 
 
 class Deployment:
-    """Entries, agents and minions in several zones. `minions` gives capacity and labels of each."""
+    """Entries, agents and minions in several zones. `minions` gives capacity and labels of each,
+    `bounds` the settings that differ from those of poolside-ops."""
 
-    def __init__(self, folder: str, entries: int, minions: List[dict], first_version: int = 0):
+    def __init__(self, folder: str, entries: int, minions: List[dict],
+                 bounds: Optional[dict] = None):
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.began = time.monotonic()
         self._record = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
         self._temporary = tempfile.mkdtemp(prefix="lavender-review-")
-        ports = free_ports(1 + 3 * entries + 3 * len(minions))
-        self.store = Store(ports.pop(), first_version)
+        self._ports = Ports()
+        self.store = Store(self._ports.take())
         self.callers: List[str] = []
         self.entries: List[Program] = []
         self.agents: List[Program] = []
         self.minions: List[Minion] = []
+        self._bounds = {**BOUNDS, **(bounds or {})}
         self._turn = 0
         for index in range(entries):
             zone = ZONES[index % len(ZONES)]
-            self.callers.append(f"127.0.0.1:{ports.pop()}")
+            self.callers.append(f"127.0.0.1:{self._ports.take()}")
             self.entries.append(Program("entry", self._temporary, {
-                **self._settings(f"front-{zone}-{index // 3 + 1}", zone, ports.pop(), 0.25),
-                "callers": self.callers[-1], "readiness": f"127.0.0.1:{ports.pop()}"}))
+                **self._settings(f"front-{zone}-{index // 3 + 1}", zone, self._ports.take(), 0.25),
+                "callers": self.callers[-1], "readiness": f"127.0.0.1:{self._ports.take()}"}))
         for index, kind in enumerate(minions):
             zone = ZONES[index % len(ZONES)]
-            control, app = f"127.0.0.1:{ports.pop()}", ports.pop()
+            control, app = f"127.0.0.1:{self._ports.take()}", self._ports.take()
             self.agents.append(Program("agent", self._temporary, {
-                **self._settings(f"side-{zone}-{index // 3 + 1}", zone, ports.pop(), 0.15),
+                **self._settings(f"side-{zone}-{index // 3 + 1}", zone, self._ports.take(), 0.15),
                 "checkIns": control, "minion": f"127.0.0.1:{app}", "service": SERVICE}))
             self.minions.append(Minion(
                 self.note, f"m{index + 1}", SERVICE, zone, app, control,
+                self._bounds["longestLeaseMs"],
                 {"cpu": kind.get("cpu", 32000), "memMb": kind.get("memMb", 128000), "gpu": 0},
                 kind.get("labels", ["a", f"r1-{index // 3 + 1}"])))
         self.note(f"trouble: {'yes' if self.trouble else 'no'}")
 
     def _settings(self, name: str, zone: str, own_port: int, cpu_share: float) -> dict:
         return {"vm": name, "host": "127.0.0.1", "dataCentre": zone, "store": self.store.address,
-                "ownPort": own_port, "cpuShare": cpu_share, "cores": 1, **BOUNDS}
+                "ownPort": own_port, "cpuShare": cpu_share, "cores": 1, **self._bounds}
 
     def note(self, text: str) -> None:
         if not self._record.closed:
@@ -143,10 +177,17 @@
         await self.set_config(first_config)
         for program in self.entries + self.agents:
             program.start()
+        await self.wait_for(self._agents_listen, START_S, "the agents to listen")
         for minion in self.minions:
             await minion.start()
         await self.wait_for(self._ready, START_S, "the entries to be ready")
 
+    async def _agents_listen(self) -> bool:
+        self.check_processes()
+        answers = [await send(agent.settings["checkIns"], "GET", "/", timeout=1.0)
+                   for agent in self.agents]
+        return all(status != 0 for status, _ in answers)
+
     async def _ready(self) -> bool:
         self.check_processes()
         answers = [await send(entry.settings["readiness"], "GET", "/-/ready", timeout=1.0)
@@ -218,6 +259,7 @@
         for minion in self.minions:
             minion.close()
         self.store.server.close()
+        self._ports.close()
         self._record.close()
         if os.environ.get("KEEP_LOGS"):
             print("logs in", self._temporary)
@@ -231,22 +273,24 @@
     rule was broken, 0 if it held, and 2 if the case could not run."""
 
     async def main() -> int:
-        deployment = Deployment(folder, entries, minions, **options)
-        # A case that is told to end takes its processes with it.
-        this_task = asyncio.current_task()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            asyncio.get_running_loop().add_signal_handler(number, this_task.cancel)
+        deployment = None
         try:
+            deployment = Deployment(folder, entries, minions, **options)
+            # A case that is told to end takes its processes with it.
+            this_task = asyncio.current_task()
+            for number in (signal.SIGTERM, signal.SIGINT):
+                asyncio.get_running_loop().add_signal_handler(number, this_task.cancel)
             broken = await asyncio.wait_for(case(deployment), limit_s)
             deployment.check_processes()
             verdict = "the rule held" if broken is None else "the rule was broken: " + broken
             code = 0 if broken is None else 1
-        except (Exception, asyncio.CancelledError) as error:  # any other failure leaves the case without a verdict
+        except (Exception, asyncio.CancelledError) as error:  # the case has no verdict
             if not isinstance(error, (CaseCannotRun, asyncio.CancelledError)):
                 traceback.print_exc()
             verdict, code = f"the case could not run: {error or type(error).__name__}", 2
-        deployment.note(verdict)
-        deployment.close()
+        if deployment is not None:
+            deployment.note(verdict)
+            deployment.close()
         print(verdict)
         return code
 
--- a/review/stand_ins_2/minion.py
+++ b/review/stand_ins_2/minion.py
@@ -16,7 +16,6 @@
 CHECK_IN_S = 1.1
 STARTUP_S = 0.4
 STOP_S = 0.1
-MAX_HOLD_MS = 10000
 TICK_S = 0.02
 CHECKPOINT_MS = 1000
 
@@ -64,9 +63,10 @@
     """
 
     def __init__(self, record: Callable[[str], None], name: str, service: str, zone: str, port: int,
-                 control: str, capacity: Dict[str, int], labels: List[str]):
+                 control: str, max_hold_ms: int, capacity: Dict[str, int], labels: List[str]):
         self.name, self.service, self.zone, self.control = name, service, zone, control
         self.capacity, self.labels = capacity, labels
+        self._max_hold_ms = max_hold_ms
         self.clock_ahead_s = 0.0
         self.history: List[Run] = []
         self.up = False
@@ -177,7 +177,7 @@
 
     def _extend(self, call: dict) -> None:
         if "untilMs" in call:
-            self._lease = max(self._lease, min(call["untilMs"], self._clock() + MAX_HOLD_MS))
+            self._lease = max(self._lease, min(call["untilMs"], self._clock() + self._max_hold_ms))
 
     def _start(self, call):
         if call["untilMs"] <= self._clock():
--- a/review/stand_ins_2/store.py
+++ b/review/stand_ins_2/store.py
@@ -25,15 +25,15 @@
 class Store:
     """`refused` lists the transactions that were answered with 400, and why."""
 
-    def __init__(self, port: int, first_version: int = 0):
+    def __init__(self, port: int):
         self.server = Server(port, self._handle)
         self.address = self.server.address
         self.refused: List[str] = []
         self.largest_value = 0
         self._rows: Dict[Key, dict] = {}
         self._log: List[Tuple[float, dict]] = []
-        self._forgotten = first_version
-        self._version = first_version
+        self._forgotten = 0
+        self._version = 0
         self._started = time.monotonic()
         self._changed = asyncio.Condition()
 
