--- a/review/stand_ins_2/minion.py
+++ b/review/stand_ins_2/minion.py
@@ -2,7 +2,8 @@
 
 The text `spec` of a task says what the task is to do, as words of the form name=number:
 ms: how long it works; lasts: it works until it is stopped; cpu: thousandths of a core it uses;
-tail: it serves, and this is its tail latency in milliseconds; saves: it saves its progress.
+tail: it serves, and this is its tail latency in milliseconds; saves: it saves its progress; fills: it
+works on the processors that others leave.
 """
 import asyncio
 import json
@@ -108,7 +109,8 @@
 
     def used(self) -> int:
         """Thousandths of a core that the runs reserve."""
-        return sum(run.words.get("cpu", 0) for run in self.running.values())
+        return sum(run.words.get("cpu", 0) for run in self.running.values()
+                   if not run.words.get("fills"))
 
     def _clock(self) -> int:
         return int((time.monotonic() - self._began) * 1000)
@@ -129,8 +131,11 @@
             await asyncio.sleep(TICK_S)
             now = time.monotonic()
             expired = self._clock() >= self._lease
+            filling = sum(run.load for run in self.running.values() if run.words.get("fills"))
+            left = self.capacity["cpu"] - self.used()
             for run in list(self.running.values()):
-                run.done_ms += (now - last) * 1000 * run.pace / 100
+                share = min(1.0, left / filling) if run.words.get("fills") and filling else 1.0
+                run.done_ms += (now - last) * 1000 * share * run.pace / 100
                 finished = not run.words.get("lasts") and run.done_ms >= run.words.get("ms", 100)
                 if expired:
                     await self._end(run, "lapsed")
