Dispatch: a job takes the room kept for it, whoever was turned away there

Cause: the short job failed to fit beside the room kept for the long-running one. The record of that search holds for any larger demand, so that the job for which the room was kept was not searched for, and with no room gained no pass followed. The record of a failed search held for more than the search had examined. The same where kept room passes from one job to another, or a smaller step of the job takes a part of it: nobody was searched for.

Evidence: the owner's log of the unchanged code has 'first waiting task of the queue' with 'none 1' for the long-running job, so there was room, and no pass afterwards. The short job counted as 'processors 1' beside 11 free ones; kept room is an obstacle of its own now. Ruled out: an end that the owner did not hear of (the pass follows it), the limit for long-running tasks (31 of 96 processors).

Fix: a job examines the minions that keep room for it unless its own search has failed there. Kept room that changes its job or becomes smaller counts as room gained; room kept for a larger step stays kept. Records stay in use beside kept room, which exists where load is high.

--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -222,6 +222,7 @@
     /// become final since.
     std::set<std::tuple<int, BootTime, std::string>> m_overdueTimes;
     FailedSearches m_failedSearches;
+    std::set<std::string> m_keptRoomJobs; // jobs with kept room, as of keepRoom()
     // Thousandths of a core: what short tasks have needed at most in the last seconds, what
     // long-running tasks reserve, and what they may reserve.
     std::int64_t m_shortMilliCores = 0;
--- a/src/include/lavenderarch/dispatch/failed_searches.h
+++ b/src/include/lavenderarch/dispatch/failed_searches.h
@@ -11,7 +11,8 @@
 
 /// Room on the minions has a version, which increases whenever a minion gains room. A search that
 /// failed would fail again, also for a larger demand, on all minions that have not gained room
-/// since. Not thread-safe.
+/// since. This does not hold on a minion that keeps room for the job of the later search, as the
+/// earlier one may have been turned away by that room. Not thread-safe.
 class FailedSearches
 {
 public:
--- a/src/libdispatch/cell_dispatcher_placement.cpp
+++ b/src/libdispatch/cell_dispatcher_placement.cpp
@@ -254,8 +254,9 @@
     return 0;
 }
 
-/// Examines only minions that have gained room since a search for at most the same demand failed.
-/// Unless `remember` is set, a failure is not recorded.
+/// Examines only minions that have gained room since a search for at most the same demand failed,
+/// and those that keep room for the job, where a search of another job says nothing. Unless
+/// `remember` is set, a failure is not recorded.
 MinionView *CellDispatcher::selectMinion(const JobModel &job, const JobModel::WaitingStep &waiting,
                                          const TaskState &task, BootTime now, bool idleJob,
                                          bool remember)
@@ -266,7 +267,8 @@
     ++m_placementCounts.searches;
     const std::int64_t groupFailedAt = m_failedSearches.failedAt(search);
     const std::int64_t failedAt = std::max(groupFailedAt, waiting.failedAt);
-    if (failedAt == m_roomVersion)
+    const bool hasKeptRoom = m_keptRoomJobs.count(job.spec().id) != 0;
+    if ((hasKeptRoom ? waiting.failedAt : failedAt) == m_roomVersion)
         return nullptr;
     // A failure of this step alone may be due to maxPerMinion.
     remember = remember && groupFailedAt == failedAt;
@@ -286,7 +288,10 @@
     for (std::size_t left = m_minions.size(); left > 0; --left) {
         next = next == m_minions.end() ? m_minions.begin() : next;
         auto &[agent, view] = *next++;
-        if (view.roomVersion <= failedAt && (!spec.bestEffort || view.headroomVersion <= failedAt))
+        const bool kept = hasKeptRoom && view.keptForJob == job.spec().id;
+        const std::int64_t examinedAt = kept ? waiting.failedAt : failedAt;
+        if (view.roomVersion <= examinedAt &&
+            (!spec.bestEffort || view.headroomVersion <= examinedAt))
             continue;
         ++m_placementCounts.minions;
         const auto score = placementScore(view, request, now);
@@ -332,7 +337,8 @@
     if (step.longRunning)
         m_longRunningMilliCores =
             saturatingSum(m_longRunningMilliCores, reservedDemand(step).milliCores());
-    if (view.keptForJob == job.spec().id) { // the task takes the room that was kept
+    // A smaller task leaves a part of the room, which keepRoom() gives up or keeps on.
+    if (view.keptForJob == job.spec().id && view.keptRoom.fitsInto(reservedDemand(step))) {
         view.keptForJob.clear();
         view.keptRoom = Resources();
     }
--- a/src/libdispatch/cell_dispatcher_room.cpp
+++ b/src/libdispatch/cell_dispatcher_room.cpp
@@ -74,13 +74,20 @@
 
 void CellDispatcher::keepRoom(BootTime now)
 {
-    std::vector<MinionView *> keptBefore;
+    struct KeptRoom
+    {
+        MinionView *view;
+        std::string job;
+        Resources room;
+    };
+    std::vector<KeptRoom> keptBefore;
     for (auto &[agent, view] : m_minions) {
         if (!view.keptForJob.empty())
-            keptBefore.push_back(&view);
+            keptBefore.push_back({&view, view.keptForJob, view.keptRoom});
         view.keptForJob.clear();
         view.keptRoom = Resources();
     }
+    m_keptRoomJobs.clear();
     auto left = std::max<std::size_t>(m_minions.size() / minionsPerKeptRoom, 1);
     for (const auto &[key, job] : m_waitingJobs) {
         for (const JobModel::WaitingStep &waiting : job->waitingSteps()) {
@@ -89,9 +96,11 @@
                 left -= keepRoomFor(*job, waiting, now, left);
         }
     }
-    for (MinionView *view : keptBefore) {
-        if (view->keptForJob.empty())
-            roomGained(*view);
+    // The former job and the new one gain or lose room by a change of job, others by a change of
+    // size.
+    for (const KeptRoom &before : keptBefore) {
+        if (before.view->keptForJob != before.job || !before.room.fitsInto(before.view->keptRoom))
+            roomGained(*before.view);
     }
 }
 
@@ -130,6 +139,7 @@
     for (const auto &[missing, view] : candidates) {
         view->keptForJob = job.spec().id;
         view->keptRoom = demand;
+        m_keptRoomJobs.insert(job.spec().id);
     }
     return candidates.size();
 }
--- a/src/libdispatch/kept_room_test.cpp
+++ b/src/libdispatch/kept_room_test.cpp
@@ -106,7 +106,7 @@
     for (const auto &[agent, view] : cell.owner().minions())
         job = view.keptForJob.empty() ? job : view.keptForJob;
     REQUIRE_FALSE(job.empty());
-    cell.owner().applyJobRow({cells::cancelKey("svc", job), "{}", 2, false}, cell.now());
+    cell.cancel(job);
     cell.settle();
     cell.tick();
     for (const auto &[agent, view] : cell.owner().minions())
--- a/src/libdispatch/loaded_cell.h
+++ b/src/libdispatch/loaded_cell.h
@@ -52,15 +52,28 @@
 
     /// Submits a job of one step.
     void submit(const StepSpec &step)
+    {
+        submit(std::vector<StepSpec>{step}, step.bestEffort ? 2 : 0);
+    }
+
+    /// Submits a job and returns its id. Jobs of a lower `priority` value are placed first.
+    std::string submit(std::vector<StepSpec> steps, int priority)
     {
         JobSpec job;
         job.id = "job-" + std::to_string(m_jobs++);
         job.service = "svc";
         job.queue = "q";
-        job.priority = step.bestEffort ? 2 : 0;
+        job.priority = priority;
         job.acceptedMs = m_now.time_since_epoch().count();
-        job.steps = {step};
+        job.steps = std::move(steps);
         m_owner.applyJobRow({cells::jobKey("svc", job.id), Json(job).dump(), 1, false}, m_now);
+        return job.id;
+    }
+
+    /// Stores the cancellation of a job.
+    void cancel(const std::string &job)
+    {
+        m_owner.applyJobRow({cells::cancelKey("svc", job), "{}", 2, false}, m_now);
     }
 
     /// Places tasks and stores the changes, until there are none.
@@ -120,11 +133,24 @@
         }
         return active.empty() ? std::pair<std::size_t, RunKey>{} : active[number % active.size()];
     }
-    /// Ends a run as done, which its minion reports.
-    void endRun(const std::pair<std::size_t, RunKey> &active)
+    /// Ends a run, which its minion reports.
+    void endRun(const std::pair<std::size_t, RunKey> &active, RunOutcome outcome = RunOutcome::Done)
     {
         const auto &[index, run] = active;
-        report(index, {{++m_minions[index].ends, run, RunOutcome::Done, "", ""}});
+        report(index, {{++m_minions[index].ends, run, outcome, "", ""}});
+    }
+    /// Ends all runs of a job.
+    void endRuns(const std::string &job, RunOutcome outcome = RunOutcome::Done)
+    {
+        std::vector<std::pair<std::size_t, RunKey>> runs;
+        for (const auto &[agent, view] : m_owner.minions()) {
+            for (const RunKey &run : view.runs) {
+                if (TaskName::parse(run.task)->job == job)
+                    runs.emplace_back(indexOf(agent), run);
+            }
+        }
+        for (const auto &run : runs)
+            endRun(run, outcome);
     }
 
     void advance(Milliseconds duration) { m_now += duration; }
--- a/src/libdispatch/placement.cpp
+++ b/src/libdispatch/placement.cpp
@@ -98,11 +98,13 @@
     const PlacementObstacle lasting = lastingObstacle(view, request, now);
     if (lasting != PlacementObstacle::None)
         return lasting;
-    const bool keptForOther = !view.keptForJob.empty() && view.keptForJob != request.job->id;
-    const Resources total = committedResources(view) + reservedDemand(*request.step) +
-                            (keptForOther ? view.keptRoom : Resources());
-    if (total.fitsInto(facts.capacity))
-        return PlacementObstacle::None;
+    const Resources total = committedResources(view) + reservedDemand(*request.step);
+    if (total.fitsInto(facts.capacity)) {
+        const bool keptForOther = !view.keptForJob.empty() && view.keptForJob != request.job->id;
+        return keptForOther && !(total + view.keptRoom).fitsInto(facts.capacity)
+                   ? PlacementObstacle::KeptRoom
+                   : PlacementObstacle::None;
+    }
     if (total.milliCores() > facts.capacity.milliCores())
         return PlacementObstacle::Processors;
     return total.memoryMib() > facts.capacity.memoryMib() ? PlacementObstacle::Memory
@@ -236,6 +238,8 @@
         return "memory";
     case PlacementObstacle::Accelerators:
         return "accelerators";
+    case PlacementObstacle::KeptRoom:
+        return "kept room";
     case PlacementObstacle::Pace:
         break;
     }
--- a/src/libdispatch/placement.h
+++ b/src/libdispatch/placement.h
@@ -38,7 +38,8 @@
     Processors,
     Memory,
     Accelerators,
-    Pace, ///< a best-effort task would be too slow, or slow serving tasks down too much
+    KeptRoom, ///< the task fits only into room that is kept for another job
+    Pace,     ///< a best-effort task would be too slow, or slow serving tasks down too much
 };
 
 /// Name of the obstacle in log lines.
