Dispatch: soft constraints hold a task back beside room for a bounded time

Cause: the limit for long-running tasks leaves room to short ones without end, also to those that can never use it. Kept room and the least pace of best-effort tasks have no end either: a choice that lets one task wait for the sake of others had no bound.

Evidence: the owner's log of the unchanged code has 'first waiting task of the queue' with 'none 3' for the job each second for 43 s.

Fix: while a waiting step has room for it twice over, a deadline is stored with the step; after it, tasks are placed regardless of soft constraints, but for the last slot. This holds for each long-running task, and for jobs without a run in a service used by less than half: the users' rule is 3 s, the deadline comes after 2 s. Hard constraints are untouched. New log line 'soft constraints lifted' and counter lavender_placement_exempt.

--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -188,6 +188,13 @@
     void keepRoom(BootTime now);
     std::size_t keepRoomFor(const JobModel &job, const JobModel::WaitingStep &waiting, BootTime now,
                             std::size_t limit);
+    /// Bounds the time for which soft constraints hold tasks back beside room.
+    void boundSoftConstraints(BootTime now);
+    void boundSoftConstraints(JobModel &job, JobModel::WaitingStep &waiting, BootTime now);
+    int countSlots(const JobModel &job, const JobModel::WaitingStep &waiting, BootTime now,
+                   int limit) const;
+    std::string softConstraint(const JobModel &job, const StepSpec &step, BootTime now) const;
+    void searchFailed(JobModel::WaitingStep &waiting);
     void reportPlacement(BootTime now);
     void reportWaiting(BootTime now);
     void releaseStaged(const Staged &staged, BootTime now);
--- a/src/include/lavenderarch/dispatch/placement_counts.h
+++ b/src/include/lavenderarch/dispatch/placement_counts.h
@@ -13,6 +13,7 @@
     std::int64_t searches = 0; ///< searches for a minion, each for one task
     std::int64_t minions = 0;  ///< minions examined in these searches
     std::int64_t placed = 0;   ///< tasks placed
+    std::int64_t exempt = 0;   ///< tasks placed regardless of soft constraints
     std::int64_t overdue = 0;  ///< tasks placed first because their jobs are overdue
 
     friend bool operator==(const PlacementCounts &, const PlacementCounts &) = default;
--- a/src/include/lavenderarch/runtime/measured_commit.h
+++ b/src/include/lavenderarch/runtime/measured_commit.h
@@ -26,6 +26,7 @@
     count("lavender_placement_searches", after.searches - before.searches);
     count("lavender_placement_minions", after.minions - before.minions);
     count("lavender_placement_placed", after.placed - before.placed);
+    count("lavender_placement_exempt", after.exempt - before.exempt);
     return commit;
 }
 
--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -337,6 +337,7 @@
     }
     updateLongRunningLimit(now);
     keepRoom(now);
+    boundSoftConstraints(now);
     useNewHeadrooms(now);
     m_placementDue = m_placementDue || m_roomVersion != m_triedRoomVersion;
 }
--- a/src/libdispatch/cell_dispatcher_placement.cpp
+++ b/src/libdispatch/cell_dispatcher_placement.cpp
@@ -3,6 +3,7 @@
 
 #include "lavenderarch/dispatch/queue_catalog.h"
 #include "placement.h"
+#include "tasks_per_agent.h"
 
 #include <algorithm>
 #include <limits>
@@ -26,16 +27,6 @@
 /// Value of TaskState::startOrder while the start waits for its commit.
 constexpr std::int64_t unreleased = -1;
 
-std::map<std::string, int> tasksPerAgent(const std::vector<TaskState> &tasks)
-{
-    std::map<std::string, int> counts;
-    for (const TaskState &task : tasks) {
-        if (task.active())
-            ++counts[task.agent];
-    }
-    return counts;
-}
-
 } // namespace
 
 void CellDispatcher::attach(MinionView &view, const StepSpec &step, const RunKey &run)
@@ -162,7 +153,8 @@
 {
     if (waiting.failedAt == m_roomVersion)
         return 0;
-    const auto [occurrence, step, failedAt] = waiting;
+    const int occurrence = waiting.occurrence;
+    const std::size_t step = waiting.step;
     if (job.spec().steps[step].gang)
         return placeGang(job, waiting, now);
     int placed = 0;
@@ -173,23 +165,29 @@
         if (tasks[index].phase != TaskPhase::Waiting)
             continue;
         const StepSpec &spec = job.spec().steps[step];
-        if (spec.longRunning && !mayRunLong(spec)) {
+        const bool exempt = waiting.exemptTasks > 0;
+        if (spec.longRunning && !exempt && !mayRunLong(spec)) {
             m_longRunningHeldBack = true;
             break;
         }
         const PlacementRequest request{&job.spec(),   &job.spec().steps[step],
                                        &tasks[index], &m_closedDataCentres,
-                                       &m_tailModel,  false};
+                                       &m_tailModel,  false,
+                                       !exempt};
         if (view == nullptr || group.size() >= maxGroupSize || !suitsGroup(*view, request, now)) {
             if (view != nullptr)
                 recordPlaced(*view, std::exchange(group, {}), now);
             const bool idle = job.activeRuns() == 0 && placed == 0;
             view = selectMinion(job, waiting, tasks[index], now, idle);
             if (view == nullptr) {
-                waiting.failedAt = m_roomVersion;
+                searchFailed(waiting);
                 return placed;
             }
         }
+        if (exempt) {
+            --waiting.exemptTasks;
+            ++m_placementCounts.exempt;
+        }
         const TaskName name = job.name(occurrence, static_cast<int>(step), static_cast<int>(index));
         group.push_back(place(job, name, *view, now));
         ++placed;
@@ -202,7 +200,9 @@
 /// Places all members of the gang or none. Returns like placeStep().
 int CellDispatcher::placeGang(JobModel &job, JobModel::WaitingStep &waitingStep, BootTime now)
 {
-    const auto [occurrence, step, failedAt] = waitingStep;
+    const int occurrence = waitingStep.occurrence;
+    const std::size_t step = waitingStep.step;
+    const bool exempt = waitingStep.exemptTasks > 0;
     const StepSpec &spec = job.spec().steps[step];
     const FailedSearches::Search search{job.searchGroup(step), spec.demand, !spec.bestEffort,
                                         spec.count};
@@ -217,7 +217,7 @@
         run = std::max(run, task.run);
         checkpoint = task.checkpoint.empty() ? checkpoint : task.checkpoint;
     }
-    if (waiting == 0 || m_failedSearches.failedAt(search) == m_roomVersion)
+    if (waiting == 0 || (!exempt && m_failedSearches.failedAt(search) == m_roomVersion))
         return 0;
     std::vector<std::pair<TaskName, MinionView *>> members;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
@@ -246,14 +246,24 @@
     }
     for (const auto &[agent, runs] : groups)
         recordPlaced(m_minions.at(agent), runs, now);
-    if (complete)
+    if (complete) {
+        m_placementCounts.exempt += exempt ? spec.count : 0;
+        waitingStep.exemptTasks = 0;
         return static_cast<int>(members.size());
-    waitingStep.failedAt = m_roomVersion;
+    }
+    searchFailed(waitingStep);
     if (spec.maxPerMinion == 0)
         m_failedSearches.record(search, m_roomVersion);
     return 0;
 }
 
+void CellDispatcher::searchFailed(JobModel::WaitingStep &waiting)
+{
+    waiting.failedAt = m_roomVersion;
+    if (std::exchange(waiting.exemptTasks, 0) > 0)
+        waiting.heldBackUntil = {}; // there is no room
+}
+
 /// Examines only minions that have gained room since a search for at most the same demand failed,
 /// and those that keep room for the job, where a search of another job says nothing. Unless
 /// `remember` is set, a failure is not recorded.
@@ -265,19 +275,20 @@
     const FailedSearches::Search search{job.searchGroup(waiting.step), spec.demand,
                                         idleJob || !spec.bestEffort};
     ++m_placementCounts.searches;
-    const std::int64_t groupFailedAt = m_failedSearches.failedAt(search);
+    const bool exempt = waiting.exemptTasks > 0;
+    const std::int64_t groupFailedAt = exempt ? 0 : m_failedSearches.failedAt(search);
     const std::int64_t failedAt = std::max(groupFailedAt, waiting.failedAt);
     const bool hasKeptRoom = m_keptRoomJobs.count(job.spec().id) != 0;
     if ((hasKeptRoom ? waiting.failedAt : failedAt) == m_roomVersion)
         return nullptr;
     // A failure of this step alone may be due to maxPerMinion.
-    remember = remember && groupFailedAt == failedAt;
+    remember = remember && !exempt && groupFailedAt == failedAt;
     const auto sameStep =
         spec.maxPerMinion > 0
             ? tasksPerAgent(job.occurrences().at(waiting.occurrence)[waiting.step])
             : std::map<std::string, int>{};
-    const PlacementRequest request{&job.spec(),          &spec,        &task,
-                                   &m_closedDataCentres, &m_tailModel, idleJob};
+    const PlacementRequest request{&job.spec(),  &spec,   &task,  &m_closedDataCentres,
+                                   &m_tailModel, idleJob, !exempt};
     // Long-running tasks are few and stay; those that want a rack have few candidates.
     const bool compareAll = spec.longRunning || !spec.preferredRack.empty();
     MinionView *best = nullptr;
--- a/src/libdispatch/cell_dispatcher_report.cpp
+++ b/src/libdispatch/cell_dispatcher_report.cpp
@@ -42,6 +42,7 @@
                                      {"searches", std::to_string(counts.searches - last.searches)},
                                      {"minions", std::to_string(counts.minions - last.minions)},
                                      {"placed", std::to_string(counts.placed - last.placed)},
+                                     {"exempt", std::to_string(counts.exempt - last.exempt)},
                                      {"overdue", std::to_string(counts.overdue - last.overdue)},
                                      {"unfinishedJobs", lengths}});
     reportWaiting(now);
--- a/src/libdispatch/job_model.cpp
+++ b/src/libdispatch/job_model.cpp
@@ -4,6 +4,8 @@
 #include "lavenderarch/core/json_text.h"
 
 #include <algorithm>
+#include <tuple>
+#include <utility>
 
 namespace lavenderarch {
 namespace {
@@ -187,14 +189,25 @@
 
 void JobModel::refreshWaitingSteps()
 {
-    m_waitingSteps.clear();
+    // Both lists are in the order of occurrences and steps.
+    const std::vector<WaitingStep> before = std::exchange(m_waitingSteps, {});
+    auto previous = before.begin();
     for (const auto &[number, occurrence] : m_occurrences) {
         for (std::size_t step = 0; step < occurrence.size(); ++step) {
             const bool waiting =
                 std::any_of(occurrence[step].begin(), occurrence[step].end(),
                             [](const TaskState &task) { return task.phase == TaskPhase::Waiting; });
-            if (waiting && isReady(occurrence, step))
-                m_waitingSteps.push_back({number, step});
+            if (!waiting || !isReady(occurrence, step))
+                continue;
+            WaitingStep &added = m_waitingSteps.emplace_back(WaitingStep{number, step});
+            previous = std::find_if(previous, before.end(), [&](const WaitingStep &each) {
+                return std::tie(each.occurrence, each.step) >= std::tie(number, step);
+            });
+            if (previous == before.end() || previous->occurrence != number ||
+                previous->step != step)
+                continue;
+            added.heldBackUntil = previous->heldBackUntil;
+            added.exemptTasks = previous->exemptTasks;
         }
     }
 }
--- a/src/libdispatch/placement.cpp
+++ b/src/libdispatch/placement.cpp
@@ -100,7 +100,8 @@
         return lasting;
     const Resources total = committedResources(view) + reservedDemand(*request.step);
     if (total.fitsInto(facts.capacity)) {
-        const bool keptForOther = !view.keptForJob.empty() && view.keptForJob != request.job->id;
+        const bool keptForOther = request.softConstraints && !view.keptForJob.empty() &&
+                                  view.keptForJob != request.job->id;
         return keptForOther && !(total + view.keptRoom).fitsInto(facts.capacity)
                    ? PlacementObstacle::KeptRoom
                    : PlacementObstacle::None;
@@ -119,7 +120,8 @@
 /// A best-effort task must not run at `pace` on the minion.
 bool isTooSlow(const MinionView &view, const PlacementRequest &request, double pace)
 {
-    return !request.idleJob && (view.tailTargetExceeded || pace < minPace);
+    return request.softConstraints && !request.idleJob &&
+           (view.tailTargetExceeded || pace < minPace);
 }
 
 /// Thousandths of a core that no regular or serving task has reserved.
@@ -252,6 +254,18 @@
            (view.usedByLongRunning + reservedDemand(*request.step)).fitsInto(view.facts.capacity);
 }
 
+int slotsOn(const MinionView &view, const PlacementRequest &request, BootTime now, int limit)
+{
+    if (lastingObstacle(view, request, now) != PlacementObstacle::None)
+        return 0;
+    const Resources demand = reservedDemand(*request.step);
+    Resources total = committedResources(view) + demand;
+    int slots = 0;
+    for (; slots < limit && total.fitsInto(view.facts.capacity); ++slots)
+        total = total + demand;
+    return slots;
+}
+
 PlacementObstacle placementObstacle(const MinionView &view, const PlacementRequest &request,
                                     BootTime now)
 {
--- a/src/libdispatch/placement.h
+++ b/src/libdispatch/placement.h
@@ -28,6 +28,8 @@
     /// The job has no active run. One best-effort task may start at any expected pace, even on a
     /// minion where a serving task is over its target, so that the job makes progress.
     bool idleJob = false;
+    /// Soft constraints apply: room kept for other jobs, and the least pace of best-effort tasks.
+    bool softConstraints = true;
 };
 
 /// Why a task must not run on a minion now.
@@ -52,6 +54,10 @@
 /// True when the minion may run the task once all tasks there have ended but the long-running ones.
 bool fitsBesideLongRunning(const MinionView &view, const PlacementRequest &request, BootTime now);
 
+/// Number of tasks of the step that the minion has room for, at most `limit`. Checks neither
+/// maxPerMinion nor soft constraints.
+int slotsOn(const MinionView &view, const PlacementRequest &request, BootTime now, int limit);
+
 /// Resources that a task of `step` reserves on a minion. Best-effort tasks reserve no processors,
 /// because they use only those that other tasks leave idle.
 Resources reservedDemand(const StepSpec &step);
