Dispatch: a gang examines all minions, also those without new room

Cause: the step's failed search left out all minions without new room since. Each of them may have had room for some of the members.

Evidence: gang_room_test, three minions and all six orders of the ends: the gang started in none of them before, and starts in all now.

Why it works: a gang's own failure leaves no minion out; the failure of a single task of at most the same demand still does, which bounds the work. dispatch_load_test's bounds hold unchanged.

--- a/src/libdispatch/cell_dispatcher_placement.cpp
+++ b/src/libdispatch/cell_dispatcher_placement.cpp
@@ -217,7 +217,9 @@
         run = std::max(run, task.run);
         checkpoint = task.checkpoint.empty() ? checkpoint : task.checkpoint;
     }
-    if (waiting == 0 || (!exempt && m_failedSearches.failedAt(search) == m_roomVersion))
+    const bool known = !exempt && m_keptRoomJobs.count(job.spec().id) == 0 &&
+                       m_failedSearches.failedAt(search) == m_roomVersion;
+    if (waiting == 0 || known)
         return 0;
     std::vector<std::pair<TaskName, MinionView *>> members;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
@@ -265,7 +267,8 @@
 }
 
 /// Examines only minions that have gained room since a search for at most the same demand failed,
-/// and those that keep room for the job, where a search of another job says nothing. Unless
+/// and those that keep room for the job, where a search of another job says nothing. The failure of
+/// a gang does not count, as each minion may have had room for some of its members. Unless
 /// `remember` is set, a failure is not recorded.
 MinionView *CellDispatcher::selectMinion(const JobModel &job, const JobModel::WaitingStep &waiting,
                                          const TaskState &task, BootTime now, bool idleJob,
@@ -277,9 +280,10 @@
     ++m_placementCounts.searches;
     const bool exempt = waiting.exemptTasks > 0;
     const std::int64_t groupFailedAt = exempt ? 0 : m_failedSearches.failedAt(search);
-    const std::int64_t failedAt = std::max(groupFailedAt, waiting.failedAt);
+    const std::int64_t stepFailedAt = spec.gang ? 0 : waiting.failedAt;
+    const std::int64_t failedAt = std::max(groupFailedAt, stepFailedAt);
     const bool hasKeptRoom = m_keptRoomJobs.count(job.spec().id) != 0;
-    if ((hasKeptRoom ? waiting.failedAt : failedAt) == m_roomVersion)
+    if ((hasKeptRoom ? stepFailedAt : failedAt) == m_roomVersion)
         return nullptr;
     // A failure of this step alone may be due to maxPerMinion.
     remember = remember && !exempt && groupFailedAt == failedAt;
@@ -300,7 +304,7 @@
         next = next == m_minions.end() ? m_minions.begin() : next;
         auto &[agent, view] = *next++;
         const bool kept = hasKeptRoom && view.keptForJob == job.spec().id;
-        const std::int64_t examinedAt = kept ? waiting.failedAt : failedAt;
+        const std::int64_t examinedAt = kept ? stepFailedAt : failedAt;
         if (view.roomVersion <= examinedAt &&
             (!spec.bestEffort || view.headroomVersion <= examinedAt))
             continue;
