Dispatch: waiting jobs are tried again with each configuration

Cause: a pass skips jobs of services without a route, and then noted that all waiting jobs had been tried.

Why it works: a new configuration makes all waiting jobs untried. Rows of configurations are rare, so that the additional pass does not matter.

--- a/src/libdispatch/cell_dispatcher.cpp
+++ b/src/libdispatch/cell_dispatcher.cpp
@@ -58,6 +58,7 @@
     m_catalog = std::move(catalog);
     for (auto &[id, job] : m_jobs)
         updateOverdueTime(job);
+    m_untriedJobs = m_waitingJobs; // the last pass left out those whose service had no route
     m_placementDue = true;
 }
 
