Dispatch: one exempt task for a short job, and names read by a newcomer

A short job only has to have a run, so that one of its tasks is exempt, not all but the last slot. A test that other runs of a job do not extend the time for which a step is held back; it fails when the refreshed step forgets its deadline.

--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -191,9 +191,14 @@
     /// Bounds the time for which soft constraints hold tasks back beside room.
     void boundSoftConstraints(BootTime now);
     void boundSoftConstraints(JobModel &job, JobModel::WaitingStep &waiting, BootTime now);
+    /// Number of tasks of the step that the minions have room for, at most `limit`. Soft
+    /// constraints do not count.
     int countSlots(const JobModel &job, const JobModel::WaitingStep &waiting, BootTime now,
                    int limit) const;
+    /// What holds the step back, for the log: a soft constraint, or `none` if the step has room but
+    /// was not searched for.
     std::string softConstraint(const JobModel &job, const StepSpec &step, BootTime now) const;
+    /// No minion was found for a task of the step, or for all members of the gang.
     void searchFailed(JobModel::WaitingStep &waiting);
     void reportPlacement(BootTime now);
     void reportWaiting(BootTime now);
--- a/src/libdispatch/cell_dispatcher_placement.cpp
+++ b/src/libdispatch/cell_dispatcher_placement.cpp
@@ -217,9 +217,9 @@
         run = std::max(run, task.run);
         checkpoint = task.checkpoint.empty() ? checkpoint : task.checkpoint;
     }
-    const bool known = !exempt && m_keptRoomJobs.count(job.spec().id) == 0 &&
-                       m_failedSearches.failedAt(search) == m_roomVersion;
-    if (waiting == 0 || known)
+    const bool knownToFail = !exempt && m_keptRoomJobs.count(job.spec().id) == 0 &&
+                             m_failedSearches.failedAt(search) == m_roomVersion;
+    if (waiting == 0 || knownToFail)
         return 0;
     std::vector<std::pair<TaskName, MinionView *>> members;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
--- a/src/libdispatch/cell_dispatcher_soft_constraints.cpp
+++ b/src/libdispatch/cell_dispatcher_soft_constraints.cpp
@@ -36,6 +36,21 @@
     return services;
 }
 
+/// The last slot stays for the tasks for which the constraints hold room back. A short job only has
+/// to have a run.
+int exemptTasks(const StepSpec &step, int slots)
+{
+    if (step.gang)
+        return step.count;
+    return step.longRunning ? slots - 1 : 1;
+}
+
+void clearHoldBack(JobModel::WaitingStep &waiting)
+{
+    waiting.heldBackUntil = {};
+    waiting.exemptTasks = 0;
+}
+
 } // namespace
 
 /// A long-running task is bounded whatever the load, any other only if its job has no run and the
@@ -54,12 +69,11 @@
             if (idle || spec.steps[waiting.step].longRunning)
                 boundSoftConstraints(*job, waiting, now);
             else
-                waiting.heldBackUntil = {};
+                clearHoldBack(waiting);
         }
     }
 }
 
-/// The last slot stays for the tasks for which the constraints hold room back.
 void CellDispatcher::boundSoftConstraints(JobModel &job, JobModel::WaitingStep &waiting,
                                           BootTime now)
 {
@@ -72,15 +86,14 @@
     const int atOnce = step.gang ? step.count : 1;
     const int slots = countSlots(job, waiting, now, std::max(2 * atOnce, waitingTasks + 1));
     if (slots < 2 * atOnce) {
-        waiting.heldBackUntil = {};
-        waiting.exemptTasks = 0;
+        clearHoldBack(waiting);
         return;
     }
     if (waiting.heldBackUntil == BootTime{})
         waiting.heldBackUntil = now + maxHoldBack;
     if (now < waiting.heldBackUntil)
         return;
-    const int exempt = step.gang ? step.count : slots - 1;
+    const int exempt = exemptTasks(step, slots);
     if (std::exchange(waiting.exemptTasks, exempt) == 0)
         recordEvent("soft constraints lifted", {{"job", job.spec().id},
                                                 {"queue", job.spec().queue},
@@ -93,7 +106,6 @@
     m_placementDue = true;
 }
 
-/// Number of tasks of the step that the minions have room for, at most `limit`.
 int CellDispatcher::countSlots(const JobModel &job, const JobModel::WaitingStep &waiting,
                                BootTime now, int limit) const
 {
@@ -119,8 +131,6 @@
     return slots;
 }
 
-/// What holds the step back, for the log: a soft constraint, or `none` if the step has room but was
-/// not searched for.
 std::string CellDispatcher::softConstraint(const JobModel &job, const StepSpec &step,
                                            BootTime now) const
 {
--- a/src/libdispatch/job_model.cpp
+++ b/src/libdispatch/job_model.cpp
@@ -94,6 +94,12 @@
                        [](const TaskState &task) { return task.phase == TaskPhase::Done; });
 }
 
+/// Order of the steps with tasks to place.
+bool precedes(const JobModel::WaitingStep &left, const JobModel::WaitingStep &right)
+{
+    return std::tie(left.occurrence, left.step) < std::tie(right.occurrence, right.step);
+}
+
 } // namespace
 
 JobModel::JobModel(JobSpec spec)
@@ -189,7 +195,8 @@
 
 void JobModel::refreshWaitingSteps()
 {
-    // Both lists are in the order of occurrences and steps.
+    // A step that goes on waiting keeps the time for which it is held back. Both lists are in
+    // order.
     const std::vector<WaitingStep> before = std::exchange(m_waitingSteps, {});
     auto previous = before.begin();
     for (const auto &[number, occurrence] : m_occurrences) {
@@ -201,10 +208,9 @@
                 continue;
             WaitingStep &added = m_waitingSteps.emplace_back(WaitingStep{number, step});
             previous = std::find_if(previous, before.end(), [&](const WaitingStep &each) {
-                return std::tie(each.occurrence, each.step) >= std::tie(number, step);
+                return !precedes(each, added);
             });
-            if (previous == before.end() || previous->occurrence != number ||
-                previous->step != step)
+            if (previous == before.end() || precedes(added, *previous))
                 continue;
             added.heldBackUntil = previous->heldBackUntil;
             added.exemptTasks = previous->exemptTasks;
--- a/src/libdispatch/soft_constraints_test.cpp
+++ b/src/libdispatch/soft_constraints_test.cpp
@@ -132,6 +132,21 @@
     CHECK(activeRuns(cell, job) == 1);
 }
 
+TEST_CASE("other runs of its job do not extend the time for which a step is held back")
+{
+    LoadedCell cell = cellWithRoomForShortTasks();
+    const std::string job = cell.submit({longTasks(1500), shortTasks(500)}, 0);
+    cell.settle();
+    CHECK(activeRuns(cell, job) == 1);
+    for (Milliseconds passed{0}; passed < bound; passed += tickInterval) {
+        cell.endRuns(job, RunOutcome::Stopped);
+        play(cell, 3, tickInterval);
+        if (activeRuns(cell, job) == 2)
+            return;
+    }
+    FAIL("the long-running task was not placed");
+}
+
 // Guards against a long-running task that waits for good (LOST) beside room kept for another one.
 TEST_CASE("room kept for a long-running job holds another one back for less than three seconds")
 {
