--- a/src/include/lavenderarch/dispatch/job_model.h
+++ b/src/include/lavenderarch/dispatch/job_model.h
@@ -24,7 +24,8 @@
         std::size_t step = 0;
         /// Version of the room (see FailedSearches) in which no minion was found; 0: not tried.
         std::int64_t failedAt = 0;
-        /// Soft constraints hold the step back beside room until then; unset: there is no room.
+        /// Soft constraints (see CellDispatcher::boundSoftConstraints()) hold the step back beside
+        /// room until then; unset: there is no room.
         BootTime heldBackUntil{};
         /// Number of tasks that are to be placed regardless of soft constraints.
         int exemptTasks = 0;
--- a/src/libdispatch/cell_dispatcher_placement.cpp
+++ b/src/libdispatch/cell_dispatcher_placement.cpp
@@ -352,7 +352,7 @@
     if (step.longRunning)
         m_longRunningMilliCores =
             saturatingSum(m_longRunningMilliCores, reservedDemand(step).milliCores());
-    // A smaller task leaves a part of the room, which keepRoom() gives up or keeps on.
+    // Room for a larger task stays kept until keepRoom() decides anew.
     if (view.keptForJob == job.spec().id && view.keptRoom.fitsInto(reservedDemand(step))) {
         view.keptForJob.clear();
         view.keptRoom = Resources();
--- a/src/libdispatch/cell_dispatcher_room.cpp
+++ b/src/libdispatch/cell_dispatcher_room.cpp
@@ -96,8 +96,7 @@
                 left -= keepRoomFor(*job, waiting, now, left);
         }
     }
-    // The former job and the new one gain or lose room by a change of job, others by a change of
-    // size.
+    // The new job gains room when the job changes, all others when the kept room is smaller.
     for (const KeptRoom &before : keptBefore) {
         if (before.view->keptForJob != before.job || !before.room.fitsInto(before.view->keptRoom))
             roomGained(*before.view);
--- a/src/libdispatch/cell_dispatcher_soft_constraints.cpp
+++ b/src/libdispatch/cell_dispatcher_soft_constraints.cpp
@@ -12,8 +12,7 @@
 namespace lavenderarch {
 namespace {
 
-/// Longest time on end for which a task is held back beside room for it twice over. The users'
-/// bound is 3 s, which includes the ticks until the room is seen and the start of the task.
+/// Longest time on end for which a task is held back beside room for it twice over.
 constexpr Milliseconds maxHoldBack{2000};
 
 /// Services that have reserved less than half of the processors of their minions.
