Tests of kept room and soft constraints: one set of steps, one check of the bound

Read once more after the change: three new test files each built the same steps, and three cases of soft_constraints_test repeated submit, settle, play and the two checks. loaded_steps.h holds the steps, checkHeldBackWithinBound() the checks; the number of minions comes from the cell.

--- a/src/libdispatch/gang_room_test.cpp
+++ b/src/libdispatch/gang_room_test.cpp
@@ -1,24 +1,17 @@
 // Tests of the room that a gang finds when the runs of other jobs end one after the other.
 #include "loaded_cell.h"
+#include "loaded_steps.h"
 
 #include <doctest/doctest.h>
 
 using namespace lavenderarch;
 using lavenderarch::testing::LoadedCell;
+using lavenderarch::testing::shortTasks;
 
 namespace {
 
 constexpr int minions = 3;
 
-StepSpec tasks(int count, std::int64_t milliCores)
-{
-    StepSpec step;
-    step.count = count;
-    step.demand = Resources(milliCores, 1000, 0);
-    step.estimateMs = 600;
-    return step;
-}
-
 } // namespace
 
 // Guards against a gang that never starts (LOST): each search left out the minions whose room an
@@ -31,11 +24,11 @@
         LoadedCell cell(minions);
         std::vector<std::string> blocking;
         for (int job = 0; job < minions; ++job) {
-            blocking.push_back(cell.submit({tasks(1, 10'000)}, 0)); // one fits on a minion
+            blocking.push_back(cell.submit({shortTasks(10'000)}, 0)); // one fits on a minion
             cell.settle();
         }
         REQUIRE(cell.activeRuns() == minions);
-        StepSpec step = tasks(minions, 10'000);
+        StepSpec step = shortTasks(10'000, minions);
         step.gang = true;
         const std::string gang = cell.submit({step}, 0);
         cell.settle();
--- a/src/libdispatch/kept_room_search_test.cpp
+++ b/src/libdispatch/kept_room_search_test.cpp
@@ -1,32 +1,16 @@
 // Tests of searches for a minion while room is kept there for a job.
 #include "loaded_cell.h"
+#include "loaded_steps.h"
 
 #include <doctest/doctest.h>
 
 using namespace lavenderarch;
 using lavenderarch::testing::LoadedCell;
+using lavenderarch::testing::longTasks;
+using lavenderarch::testing::shortTasks;
 
 namespace {
 
-StepSpec task(std::int64_t milliCores, bool longRunning)
-{
-    StepSpec step;
-    step.demand = Resources(milliCores, 1000, 0);
-    step.estimateMs = 600;
-    step.longRunning = longRunning;
-    return step;
-}
-
-StepSpec shortTask(std::int64_t milliCores)
-{
-    return task(milliCores, false);
-}
-
-StepSpec longTask(std::int64_t milliCores)
-{
-    return task(milliCores, true);
-}
-
 /// A minion of 16 processors with a long-running and a short task.
 struct UsedCell
 {
@@ -35,8 +19,8 @@
 
     UsedCell(std::int64_t longMilliCores, std::int64_t shortMilliCores)
     {
-        cell.submit({longTask(longMilliCores)}, 0);
-        shortJob = cell.submit({shortTask(shortMilliCores)}, 0);
+        cell.submit({longTasks(longMilliCores)}, 0);
+        shortJob = cell.submit({shortTasks(shortMilliCores)}, 0);
         cell.settle();
         REQUIRE(cell.activeRuns() == 2);
     }
@@ -55,11 +39,11 @@
 {
     UsedCell used(9000, 2500);
     LoadedCell &cell = used.cell;
-    const std::string large = cell.submit({longTask(5000)}, 1);
+    const std::string large = cell.submit({longTasks(5000)}, 1);
     cell.settle();
     cell.tick();
     REQUIRE(minion(cell).keptForJob == large);
-    const std::string small = cell.submit({shortTask(2500)}, 0); // is searched for first
+    const std::string small = cell.submit({shortTasks(2500)}, 0); // is searched for first
     cell.settle();
     REQUIRE(cell.activeRuns() == 2);
     cell.endRuns(used.shortJob);
@@ -73,11 +57,11 @@
 {
     UsedCell used(9000, 2500);
     LoadedCell &cell = used.cell;
-    const std::string large = cell.submit({longTask(5000)}, 0);
+    const std::string large = cell.submit({longTasks(5000)}, 0);
     cell.settle();
     cell.tick();
     REQUIRE(minion(cell).keptForJob == large);
-    const std::string next = cell.submit({longTask(3000)}, 1);
+    const std::string next = cell.submit({longTasks(3000)}, 1);
     cell.settle();
     REQUIRE(cell.activeRuns() == 2);
     cell.cancel(large);
@@ -93,7 +77,7 @@
 {
     UsedCell used(8000, 3200);
     LoadedCell &cell = used.cell;
-    const std::string job = cell.submit({longTask(5000), longTask(1000)}, 0);
+    const std::string job = cell.submit({longTasks(5000), longTasks(1000)}, 0);
     cell.settle();
     cell.tick();
     REQUIRE(cell.activeRuns() == 3);
--- a/src/libdispatch/soft_constraints_test.cpp
+++ b/src/libdispatch/soft_constraints_test.cpp
@@ -1,10 +1,14 @@
 // Tests of the bound on the time for which soft constraints hold a task back.
 #include "loaded_cell.h"
+#include "loaded_steps.h"
 
 #include <doctest/doctest.h>
 
 using namespace lavenderarch;
+using lavenderarch::testing::bestEffortTasks;
 using lavenderarch::testing::LoadedCell;
+using lavenderarch::testing::longTasks;
+using lavenderarch::testing::shortTasks;
 
 namespace {
 
@@ -12,38 +16,11 @@
 constexpr Milliseconds bound{3000};
 constexpr Milliseconds tickInterval{250};
 
-StepSpec task(std::int64_t milliCores, int count, bool longRunning)
-{
-    StepSpec step;
-    step.count = count;
-    step.demand = Resources(milliCores, 1000, 0);
-    step.estimateMs = 600;
-    step.longRunning = longRunning;
-    return step;
-}
-
-StepSpec shortTasks(std::int64_t milliCores, int count = 1)
-{
-    return task(milliCores, count, false);
-}
-
-StepSpec longTasks(std::int64_t milliCores, int count = 1)
-{
-    return task(milliCores, count, true);
-}
-
-StepSpec fillingTasks(std::int64_t milliCores, int count = 1)
-{
-    StepSpec step = task(milliCores, count, false);
-    step.bestEffort = true;
-    return step;
-}
-
-void play(LoadedCell &cell, std::size_t minions, Milliseconds duration)
+void play(LoadedCell &cell, Milliseconds duration)
 {
     for (Milliseconds passed{0}; passed < duration; passed += tickInterval) {
         cell.advance(tickInterval);
-        for (std::size_t index = 0; index < minions; ++index)
+        for (std::size_t index = 0; index < cell.owner().minions().size(); ++index)
             cell.report(index);
         cell.tick();
         cell.settle();
@@ -55,6 +32,17 @@
     return cell.owner().jobs().at(job).activeRuns();
 }
 
+/// Submits a job of one step, which soft constraints hold back, and checks that `placed` of its
+/// tasks are placed within the bound.
+void checkHeldBackWithinBound(LoadedCell &cell, const StepSpec &step, int placed)
+{
+    const std::string job = cell.submit({step}, step.bestEffort ? 2 : 0);
+    cell.settle();
+    CHECK(activeRuns(cell, job) == 0);
+    play(cell, bound);
+    CHECK(activeRuns(cell, job) == placed);
+}
+
 /// Three minions with 14.1 of 16 processors in use by long-running tasks, and short tasks that
 /// wait and fit on none.
 LoadedCell cellWithRoomForShortTasks()
@@ -97,11 +85,7 @@
 TEST_CASE("room left to short tasks holds a long-running task back for less than three seconds")
 {
     LoadedCell cell = cellWithRoomForShortTasks();
-    const std::string job = cell.submit({longTasks(1500)}, 0);
-    cell.settle();
-    CHECK(activeRuns(cell, job) == 0);
-    play(cell, 3, bound);
-    CHECK(activeRuns(cell, job) == 1);
+    checkHeldBackWithinBound(cell, longTasks(1500), 1);
 }
 
 TEST_CASE("the last slot is left to short tasks")
@@ -109,7 +93,7 @@
     LoadedCell cell = cellWithRoomForShortTasks();
     const std::string job = cell.submit({longTasks(1500, 5)}, 0);
     cell.settle();
-    play(cell, 3, 2 * bound);
+    play(cell, 2 * bound);
     CHECK(activeRuns(cell, job) == 2);
 }
 
@@ -118,17 +102,17 @@
     LoadedCell cell = cellWithRoomForShortTasks();
     const std::string job = cell.submit({longTasks(1500)}, 0);
     for (int round = 0; round < 4; ++round) {
-        play(cell, 3, Milliseconds(1500));
+        play(cell, Milliseconds(1500));
         CHECK(activeRuns(cell, job) == 0);
         const std::string taken = cell.submit({shortTasks(1500, 2)}, 0);
         cell.settle();
         REQUIRE(activeRuns(cell, taken) == 2);
-        play(cell, 3, Milliseconds(250));
+        play(cell, Milliseconds(250));
         CHECK(activeRuns(cell, job) == 0);
         cell.endRuns(taken);
         cell.settle();
     }
-    play(cell, 3, bound);
+    play(cell, bound);
     CHECK(activeRuns(cell, job) == 1);
 }
 
@@ -140,7 +124,7 @@
     CHECK(activeRuns(cell, job) == 1);
     for (Milliseconds passed{0}; passed < bound; passed += tickInterval) {
         cell.endRuns(job, RunOutcome::Stopped);
-        play(cell, 3, tickInterval);
+        play(cell, tickInterval);
         if (activeRuns(cell, job) == 2)
             return;
     }
@@ -161,7 +145,7 @@
         const std::string other = cell.submit({shortTasks(1000)}, 0);
         cell.settle();
         cell.endRuns(other);
-        play(cell, 2, tickInterval);
+        play(cell, tickInterval);
     }
     CHECK(activeRuns(cell, job) == 1);
 }
@@ -172,11 +156,7 @@
     LoadedCell cell = cellWithKeptRoom(4, "b");
     StepSpec step = shortTasks(1000);
     step.requiredLabel = "b";
-    const std::string job = cell.submit({step}, 0);
-    cell.settle();
-    CHECK(activeRuns(cell, job) == 0);
-    play(cell, 4, bound);
-    CHECK(activeRuns(cell, job) == 1);
+    checkHeldBackWithinBound(cell, step, 1);
 }
 
 TEST_CASE("short tasks leave kept room alone while most processors are in use")
@@ -184,7 +164,7 @@
     LoadedCell cell = cellWithKeptRoom();
     const std::string job = cell.submit({shortTasks(1000)}, 0);
     cell.settle();
-    play(cell, 1, 2 * bound);
+    play(cell, 2 * bound);
     CHECK(activeRuns(cell, job) == 0);
 }
 
@@ -192,13 +172,9 @@
 TEST_CASE("a gang of best-effort tasks waits for pace for less than three seconds")
 {
     LoadedCell cell(3);
-    cell.submit({fillingTasks(4000, 30)}, 2);
+    cell.submit({bestEffortTasks(4000, 30)}, 2);
     cell.settle();
-    StepSpec gang = fillingTasks(4000, 8);
+    StepSpec gang = bestEffortTasks(4000, 8);
     gang.gang = true;
-    const std::string job = cell.submit({gang}, 2);
-    cell.settle();
-    CHECK(activeRuns(cell, job) == 0);
-    play(cell, 3, bound);
-    CHECK(activeRuns(cell, job) == 8);
+    checkHeldBackWithinBound(cell, gang, 8);
 }
