--- a/src/libdispatch/cell_dispatcher_placement.cpp
+++ b/src/libdispatch/cell_dispatcher_placement.cpp
@@ -3,7 +3,7 @@
 
 #include "lavenderarch/dispatch/queue_catalog.h"
 #include "placement.h"
-#include "tasks_per_agent.h"
+#include "step_tasks.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/libdispatch/cell_dispatcher_room.cpp
+++ b/src/libdispatch/cell_dispatcher_room.cpp
@@ -4,6 +4,7 @@
 #include "lavenderarch/dispatch/cell_dispatcher.h"
 
 #include "placement.h"
+#include "step_tasks.h"
 
 #include <algorithm>
 #include <tuple>
@@ -111,13 +112,8 @@
     const Resources demand = reservedDemand(step);
     if (!mayRunLong(step))
         return 0;
-    std::size_t waitingTasks = 0;
-    std::map<std::string, int> sameStep; // tasks of the step by agent
-    for (const TaskState &task : job.occurrences().at(waiting.occurrence)[waiting.step]) {
-        waitingTasks += task.phase == TaskPhase::Waiting ? 1 : 0;
-        if (task.active())
-            ++sameStep[task.agent];
-    }
+    const auto &tasks = job.occurrences().at(waiting.occurrence)[waiting.step];
+    const std::map<std::string, int> sameStep = tasksPerAgent(tasks);
     const TaskState task;
     const PlacementRequest request{&job.spec(),          &step,        &task,
                                    &m_closedDataCentres, &m_tailModel, false};
@@ -134,7 +130,8 @@
     std::sort(candidates.begin(), candidates.end(), [](const auto &one, const auto &other) {
         return std::tie(one.first, one.second->agent) < std::tie(other.first, other.second->agent);
     });
-    candidates.resize(std::min({candidates.size(), waitingTasks, limit}));
+    candidates.resize(
+        std::min({candidates.size(), static_cast<std::size_t>(waitingTasks(tasks)), limit}));
     for (const auto &[missing, view] : candidates) {
         view->keptForJob = job.spec().id;
         view->keptRoom = demand;
--- a/src/libdispatch/cell_dispatcher_soft_constraints.cpp
+++ b/src/libdispatch/cell_dispatcher_soft_constraints.cpp
@@ -5,7 +5,7 @@
 
 #include "lavenderarch/dispatch/queue_catalog.h"
 #include "placement.h"
-#include "tasks_per_agent.h"
+#include "step_tasks.h"
 
 #include <algorithm>
 
@@ -78,12 +78,8 @@
 {
     const StepSpec &step = job.spec().steps[waiting.step];
     const auto &tasks = job.occurrences().at(waiting.occurrence)[waiting.step];
-    const auto waitingTasks =
-        static_cast<int>(std::count_if(tasks.begin(), tasks.end(), [](const TaskState &task) {
-            return task.phase == TaskPhase::Waiting;
-        }));
     const int atOnce = step.gang ? step.count : 1;
-    const int slots = countSlots(job, waiting, now, std::max(2 * atOnce, waitingTasks + 1));
+    const int slots = countSlots(job, waiting, now, std::max(2 * atOnce, waitingTasks(tasks) + 1));
     if (slots < 2 * atOnce) {
         clearHoldBack(waiting);
         return;
