EventHttpServer: input that is not parsed yet has a largest size

Callers saw an entry run out of memory and end, and with it all connections. Cause: the parser needs a whole head, a whole chunk header and the whole trailers at once and leaves them in the buffer of the connection until they are complete; only heads and bodies had a limit, the buffer had none. So trailers, a trailer field or a chunk extension without an end grew the buffer for as long as the client sent, on every port of entries and agents, which share this server.

The buffer has a largest size of twice the largest head; what exceeds it is rejected with 413, which says that the request has not run, as the handler was not called. That is the one place where input stays between two reads, so no further kind of framing can bypass it. What a rejected client still sends is discarded up to the size of a body, where only the time was limited.

--- a/src/include/lavenderarch/http/event_http_server.h
+++ b/src/include/lavenderarch/http/event_http_server.h
@@ -12,10 +12,13 @@
 
 namespace lavenderarch {
 
+class Metrics;
+
 /// Serves HTTP/1.1 on any number of ports until destroyed. Handlers are called on the server's
-/// thread and must not block. A request over the body limit gets status 413, one that is not HTTP
-/// status 400, and one that would exceed the memory for bodies status 503, all without a call of
-/// the handler.
+/// thread and must not block. A request whose body, chunk headers or trailers are too large gets
+/// status 413, one that is not HTTP status 400, and one that would exceed the memory for bodies
+/// status 503, all without a call of the handler. The metric lavender_http_refused_total counts
+/// these by the limit that was exceeded.
 class EventHttpServer
 {
 public:
@@ -25,8 +28,8 @@
     /// An exception that leaves the handler before it has responded is answered with status 500.
     using Handler = std::function<void(HttpRequest, Respond)>;
 
-    /// Fails with Internal when the system provides no thread.
-    static StatusOr<std::unique_ptr<EventHttpServer>> start();
+    /// Fails with Internal when the system provides no thread. The metrics must outlive the server.
+    static StatusOr<std::unique_ptr<EventHttpServer>> start(Metrics &metrics);
     /// Closes all connections; does not wait for responses.
     ~EventHttpServer();
     EventHttpServer(const EventHttpServer &) = delete;
--- a/src/libhttp/event_connection.cpp
+++ b/src/libhttp/event_connection.cpp
@@ -26,6 +26,9 @@
 constexpr std::size_t discardBytes = std::size_t{16} * 1024;
 /// Largest size of request line and header fields.
 constexpr std::uint32_t maxHeadBytes = 16 * 1024;
+/// Largest input that a connection holds without having parsed it. The parser needs a whole head, a
+/// whole chunk header with its extensions, and the trailers of a body at once.
+constexpr std::size_t maxBufferBytes = std::size_t{2} * maxHeadBytes;
 
 std::string responseText(const HttpResponse &response, bool reusable)
 {
@@ -114,6 +117,7 @@
     , m_endpoint(std::move(endpoint))
     , m_registry(registry)
     , m_server(std::move(server))
+    , m_buffer(maxBufferBytes)
 {
 }
 
@@ -147,7 +151,7 @@
         readHead();
         return;
     }
-    m_buffer = beast::flat_buffer();
+    m_buffer = beast::flat_buffer(maxBufferBytes);
     m_idle = true;
     m_deadline = BootClock::now() +
                  (m_registry.keepAlive() ? m_endpoint->options.idleTimeout : finalIdleTime);
@@ -172,17 +176,30 @@
         [self = shared_from_this()](const Error &error, std::size_t) { self->headRead(error); });
 }
 
+bool EventConnection::rejectTooLarge(const Error &error)
+{
+    if (error == beast::http::error::body_limit)
+        reject(HttpLimit::Body,
+               makeError(ErrorKind::PayloadTooLarge,
+                         "body exceeds " + std::to_string(m_endpoint->options.maxBodyBytes) +
+                             " bytes"));
+    else if (error == beast::http::error::buffer_overflow)
+        reject(HttpLimit::Framing, makeError(ErrorKind::PayloadTooLarge,
+                                             "trailers or a chunk header exceed " +
+                                                 std::to_string(maxBufferBytes) + " bytes"));
+    else
+        return false;
+    return true;
+}
+
 void EventConnection::headRead(const Error &error)
 {
-    const std::size_t limit = m_endpoint->options.maxBodyBytes;
-    if (error == beast::http::error::body_limit) {
-        reject(makeError(ErrorKind::PayloadTooLarge,
-                         "body exceeds " + std::to_string(limit) + " bytes"));
+    if (rejectTooLarge(error))
         return;
-    }
     if (error && error != beast::http::error::end_of_stream &&
         error.category() == make_error_code(beast::http::error::end_of_stream).category()) {
-        reject(makeError(ErrorKind::InvalidRequest, "not HTTP: " + error.message()));
+        reject(HttpLimit::Syntax,
+               makeError(ErrorKind::InvalidRequest, "not HTTP: " + error.message()));
         return;
     }
     if (error) {
@@ -190,9 +207,11 @@
         return;
     }
     const auto length = m_parser->content_length();
-    const std::size_t bytes = m_parser->chunked() ? limit : std::size_t(length.value_or(0));
+    const std::size_t bytes =
+        m_parser->chunked() ? m_endpoint->options.maxBodyBytes : std::size_t(length.value_or(0));
     if (!m_registry.reserve(bytes)) {
-        reject(makeError(ErrorKind::Overloaded, "too many large requests at once"));
+        reject(HttpLimit::Memory,
+               makeError(ErrorKind::Overloaded, "too many large requests at once"));
         return;
     }
     m_reservedBytes = bytes;
@@ -223,9 +242,9 @@
 
 void EventConnection::bodyRead(const Error &error)
 {
-    if (error == beast::http::error::body_limit)
-        reject(makeError(ErrorKind::PayloadTooLarge, "the body is too large"));
-    else if (error)
+    if (rejectTooLarge(error))
+        return;
+    if (error)
         close();
     else
         handle();
@@ -267,8 +286,10 @@
     };
 }
 
-void EventConnection::reject(const Status &error)
+void EventConnection::reject(HttpLimit limit, const Status &error)
 {
+    m_registry.countRefusal(limit, error);
+    m_buffer = beast::flat_buffer(maxBufferBytes);
     m_deadline = BootClock::now() + discardTime;
     m_output = responseText(errorResponse(error), false);
     asio::async_write(m_socket, asio::buffer(m_output),
@@ -276,22 +297,22 @@
                           if (failed)
                               self->close();
                           else
-                              self->discardInput();
+                              self->discardInput(self->m_endpoint->options.maxBodyBytes);
                       });
 }
 
-void EventConnection::discardInput()
+void EventConnection::discardInput(std::size_t remaining)
 {
     Error ignored;
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     m_output.resize(discardBytes);
-    m_socket.async_read_some(asio::buffer(m_output),
-                             [self = shared_from_this()](const Error &error, std::size_t) {
-                                 if (error)
-                                     self->close();
-                                 else
-                                     self->discardInput();
-                             });
+    m_socket.async_read_some(asio::buffer(m_output), [self = shared_from_this(), remaining](
+                                                         const Error &error, std::size_t count) {
+        if (error || count >= remaining)
+            self->close();
+        else
+            self->discardInput(remaining - count);
+    });
 }
 
 void EventConnection::respond(const HttpResponse &response, bool reusable)
--- a/src/libhttp/event_connection.h
+++ b/src/libhttp/event_connection.h
@@ -1,6 +1,7 @@
 // One connection of an EventHttpServer, and the registry of all of them.
 #pragma once
 
+#include "http_refusals.h"
 #include "lavenderarch/core/boot_clock.h"
 #include "lavenderarch/http/event_http_server.h"
 
@@ -32,6 +33,11 @@
 public:
     using ConnectionPtr = std::shared_ptr<EventConnection>;
 
+    explicit ConnectionRegistry(Metrics &metrics)
+        : m_refusals(metrics)
+    {
+    }
+
     void add(ConnectionPtr connection) { m_connections.insert(std::move(connection)); }
     void remove(const ConnectionPtr &connection) { m_connections.erase(connection); }
 
@@ -45,6 +51,8 @@
     bool reserve(std::size_t bytes);
     void release(std::size_t bytes) { m_reservedBytes -= bytes; }
 
+    void countRefusal(HttpLimit limit, const Status &error) { m_refusals.add(limit, error); }
+
     void requestBegan() { ++m_active; }
     void requestEnded() { --m_active; }
     int activeRequests() const { return m_active.load(); }
@@ -52,6 +60,7 @@
     bool keepAlive() const { return m_keepAlive.load(); }
 
 private:
+    HttpRefusals m_refusals;
     std::set<ConnectionPtr> m_connections;
     std::size_t m_reservedBytes = 0; ///< at most maxReservedBytes
     std::atomic<int> m_active{0};
@@ -92,10 +101,13 @@
     /// What the handler answers the current request with.
     EventHttpServer::Respond makeRespond(bool reusable);
     /// Answers a request that is not handed to the handler, and closes the connection.
-    void reject(const Status &error);
+    void reject(HttpLimit limit, const Status &error);
+    /// Rejects the request if `error` is that it exceeds a limit; false for any other error.
+    bool rejectTooLarge(const Error &error);
     void respond(const HttpResponse &response, bool reusable);
-    /// Discards what the peer still sends, so that it can read the response before a reset.
-    void discardInput();
+    /// Discards up to `remaining` bytes that the peer still sends, so that it can read the response
+    /// before a reset.
+    void discardInput(std::size_t remaining);
     void releaseBody();
 
     boost::asio::ip::tcp::socket m_socket;
@@ -104,10 +116,10 @@
     const std::weak_ptr<void> m_server;
     bool m_idle = false;
     BootTime m_deadline = BootTime::max();
-    std::size_t m_reservedBytes = 0; ///< for the body of the current request
-    boost::beast::flat_buffer m_buffer;
-    std::optional<Parser> m_parser; ///< set while a request is read
-    std::string m_output;           ///< response that is being written
+    std::size_t m_reservedBytes = 0;    ///< for the body of the current request
+    boost::beast::flat_buffer m_buffer; ///< input that is not parsed yet; at most maxBufferBytes
+    std::optional<Parser> m_parser;     ///< set while a request is read
+    std::string m_output;               ///< response that is being written
 };
 
 } // namespace lavenderarch
--- a/src/libhttp/event_http_server.cpp
+++ b/src/libhttp/event_http_server.cpp
@@ -33,6 +33,11 @@
 
 struct EventHttpServer::Impl : std::enable_shared_from_this<Impl>
 {
+    explicit Impl(Metrics &metrics)
+        : registry(metrics)
+    {
+    }
+
     /// A port and its handler. Connections share it, so that it outlives the server.
     struct Port
     {
@@ -105,9 +110,9 @@
 {
 }
 
-StatusOr<std::unique_ptr<EventHttpServer>> EventHttpServer::start()
+StatusOr<std::unique_ptr<EventHttpServer>> EventHttpServer::start(Metrics &metrics)
 {
-    auto impl = std::make_shared<Impl>();
+    auto impl = std::make_shared<Impl>(metrics);
     impl->sweepLater(); // also keeps the context running
     try {
         impl->thread = std::thread([running = impl.get()] { running->run(); });
--- a/src/libhttp/event_http_server_test.cpp
+++ b/src/libhttp/event_http_server_test.cpp
@@ -3,6 +3,7 @@
 #include "lavenderarch/http/event_http_server.h"
 #include "lavenderarch/http/header_names.h"
 #include "lavenderarch/http/http_client.h"
+#include "lavenderarch/telemetry/metrics.h"
 
 #include <arpa/inet.h>
 #include <array>
@@ -21,6 +22,13 @@
 
 using Respond = EventHttpServer::Respond;
 
+/// Metrics of all servers of these tests.
+Metrics &testMetrics()
+{
+    static Metrics metrics;
+    return metrics;
+}
+
 BootTime testDeadline()
 {
     return BootClock::now() + Milliseconds(10'000);
@@ -29,7 +37,7 @@
 std::unique_ptr<EventHttpServer> startServer(const Address &address, const HttpPortOptions &options,
                                              EventHttpServer::Handler handler)
 {
-    auto server = EventHttpServer::start();
+    auto server = EventHttpServer::start(testMetrics());
     REQUIRE(server.ok());
     REQUIRE((*server)->listen(address, options, std::move(handler)).ok());
     return *std::move(server);
@@ -73,6 +81,19 @@
         CHECK(::send(m_socket, text.data(), text.size(), MSG_NOSIGNAL) ==
               static_cast<ssize_t>(text.size()));
     }
+    /// Sends `text` up to `count` times; returns the number of bytes that the server accepted
+    /// before it closed the connection.
+    std::size_t sendRepeatedly(const std::string &text, std::size_t count) const
+    {
+        std::size_t sent = 0;
+        for (std::size_t turn = 0; turn < count; ++turn) {
+            const ssize_t bytes = ::send(m_socket, text.data(), text.size(), MSG_NOSIGNAL);
+            if (bytes <= 0)
+                break;
+            sent += static_cast<std::size_t>(bytes);
+        }
+        return sent;
+    }
     /// What the server sends until `text` is part of it or the connection ends.
     std::string receiveUntil(const std::string &text) const
     {
@@ -212,6 +233,39 @@
     CHECK(late.receiveAll().rfind("HTTP/1.1 200", 0) == 0);
 }
 
+// Guards against input that the parser keeps until it is complete: only heads and bodies had a
+// limit, so that trailers or a chunk extension without an end filled the memory of the process.
+TEST_CASE("trailers and chunk extensions have a largest size")
+{
+    const Address address("127.0.0.1", 18202);
+    std::atomic<int> handled{0};
+    const auto server = startServer(address, {}, [&](const HttpRequest &, const Respond &respond) {
+        ++handled;
+        respond({200, {}, "ok"});
+    });
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string lump(1024, 'b');
+    for (const std::string &begin : {"2\r\n{}\r\n0\r\na: " + lump, "2;a=" + lump}) {
+        const RawConnection connection(address);
+        connection.send(head + begin);
+        // The server discards at most the size of a body, and the system buffers some MB.
+        CHECK(connection.sendRepeatedly(lump, 200'000) < std::size_t{100} * 1024 * 1024);
+    }
+    const RawConnection refused(address);
+    refused.send(head + "2\r\n{}\r\n0\r\na: " + std::string(40'000, 'b'));
+    const std::string answer = refused.receiveAll();
+    CHECK(answer.rfind("HTTP/1.1 413", 0) == 0);
+    CHECK(answer.find("not-run") != std::string::npos);
+    CHECK(handled == 0);
+    CHECK(testMetrics().exposition().find("lavender_http_refused_total{limit=\"framing\"}") !=
+          std::string::npos);
+
+    const RawConnection accepted(address);
+    accepted.send(head + "2;a=" + lump + "\r\n{}\r\n0\r\na: " + lump + "\r\n\r\n");
+    CHECK(accepted.receiveUntil("ok").rfind("HTTP/1.1 200", 0) == 0);
+    CHECK(handled == 1);
+}
+
 TEST_CASE("a body is asked for when the caller waits for that")
 {
     const Address address("127.0.0.1", 18196);
@@ -319,7 +373,7 @@
 {
     const Address address("127.0.0.1", 18201);
     const auto server = startServer(address, {}, answerOk);
-    const auto second = EventHttpServer::start();
+    const auto second = EventHttpServer::start(testMetrics());
     REQUIRE(second.ok());
     const Status listening = (*second)->listen(address, {}, answerOk);
     CHECK(kindOf(listening) == ErrorKind::Internal);
