HttpClient: responses have a largest unparsed part and a settable largest body

An agent whose minion answers with trailers or a chunk extension without an end kept all of it until the deadline of the call, as the buffer had no largest size. It has one now, as in EventHttpServer; such a response is a CorruptedAnswer, which says nothing about whether the request has run. The largest body becomes an option, so that a process can choose one that fits its VM.

http_test: a response of 40 kB of trailers or chunk extension failed only at the deadline, it fails when the limit is met now.

--- a/src/include/lavenderarch/http/http_client.h
+++ b/src/include/lavenderarch/http/http_client.h
@@ -5,6 +5,7 @@
 #include "lavenderarch/core/boot_clock.h"
 #include "lavenderarch/core/status.h"
 #include "lavenderarch/core/time.h"
+#include "lavenderarch/http/http_client_options.h"
 #include "lavenderarch/http/http_request.h"
 #include "lavenderarch/http/http_response.h"
 
@@ -19,9 +20,7 @@
 class HttpClient
 {
 public:
-    /// Connections that were idle for `maxIdleTime` are not reused. It must be shorter than the
-    /// keep-alive timeout of the servers.
-    explicit HttpClient(Milliseconds maxIdleTime = Milliseconds(1000));
+    explicit HttpClient(const HttpClientOptions &options = {});
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
@@ -30,7 +29,7 @@
     /// of the response all end at `deadline`, since a peer may go silent at any byte.
     /// Errors: Unreachable (no byte was sent), OutcomeUnknown (sent, no head of a response in
     /// time), CorruptedAnswer (the body has no length, is too large or did not arrive whole in
-    /// time).
+    /// time, or its chunk headers or trailers are too large).
     StatusOr<HttpResponse> exchange(const Address &address, const HttpRequest &request,
                                     TimePoint deadline, Resend resend = Resend::Never);
     /// The same with a deadline on the monotonic BootClock.
--- a/src/libhttp/http_client.cpp
+++ b/src/libhttp/http_client.cpp
@@ -24,12 +24,13 @@
 /// Timeout for opening a connection; the latency to a peer in the other region is 12 ms.
 constexpr Milliseconds connectTimeout{400};
 constexpr std::size_t maxIdlePerAddress = 128;
-/// Size of the buffer of a response, and of one read.
+/// Initial size of the buffer of a response.
 constexpr std::size_t readChunkBytes = std::size_t{16} * 1024;
 /// Largest size of status line and header fields.
 constexpr std::uint32_t maxHeadBytes = 16 * 1024;
-/// Largest body, well above that of any stored object.
-constexpr std::uint64_t maxBodyBytes = std::uint64_t{64} * 1024 * 1024;
+/// Largest input that is held without having been parsed. The parser needs a whole head, a whole
+/// chunk header with its extensions, and the trailers of a body at once.
+constexpr std::size_t maxBufferBytes = std::size_t{2} * maxHeadBytes;
 
 using SocketPtr = std::unique_ptr<ClientSocket>;
 using ResponseParser = beast::http::response_parser<beast::http::string_body>;
@@ -89,12 +90,12 @@
 
 struct HttpClient::Impl
 {
-    explicit Impl(Milliseconds idleTime)
-        : maxIdleTime(idleTime)
+    explicit Impl(const HttpClientOptions &clientOptions)
+        : options(clientOptions)
     {
     }
 
-    const Milliseconds maxIdleTime;
+    const HttpClientOptions options;
     std::mutex mutex;
     std::map<Address, std::vector<IdleConnection>> idle; // guarded by mutex
 
@@ -115,7 +116,7 @@
 
     void putIdle(const Address &address, SocketPtr socket)
     {
-        const BootTime expires = BootClock::now() + maxIdleTime;
+        const BootTime expires = BootClock::now() + options.maxIdleTime;
         const std::scoped_lock lock(mutex);
         auto &connections = idle[address];
         if (connections.size() < maxIdlePerAddress)
@@ -130,11 +131,11 @@
             return makeError(ErrorKind::OutcomeUnknown, "cannot send the request to " +
                                                             address.text() + ": " +
                                                             error.message());
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer(maxBufferBytes);
         buffer.reserve(readChunkBytes);
         ResponseParser parser;
         parser.header_limit(maxHeadBytes);
-        parser.body_limit(maxBodyBytes);
+        parser.body_limit(options.maxBodyBytes);
         ClientSocket::Error error;
         beast::http::read_header(*socket, buffer, parser, error);
         if (error == beast::http::error::body_limit)
@@ -152,8 +153,8 @@
     }
 };
 
-HttpClient::HttpClient(Milliseconds maxIdleTime)
-    : m_impl(std::make_unique<Impl>(maxIdleTime))
+HttpClient::HttpClient(const HttpClientOptions &options)
+    : m_impl(std::make_unique<Impl>(options))
 {
 }
 
--- a/src/libhttp/http_deadline_test.cpp
+++ b/src/libhttp/http_deadline_test.cpp
@@ -95,6 +95,33 @@
     CHECK(errorOfCall("", std::string(8'000'000, 'x')) == ErrorKind::OutcomeUnknown);
 }
 
+// Guards against input that the parser keeps until it is complete.
+TEST_CASE("a response whose chunk headers or trailers have no end is an error")
+{
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    // The peer goes silent after these, so that a client without a limit waits for its deadline.
+    const std::string endless(40'000, 'b');
+    for (const std::string &body : {"2;a=" + endless, "2\r\n{}\r\n0\r\na: " + endless}) {
+        SilentPeer peer(chunked + body);
+        const auto response = HttpClient().exchange(
+            peer.address(), {"GET", "/", "", {}, ""},
+            BootClock::now() + std::chrono::duration_cast<Milliseconds>(2 * patience));
+        peer.hangUp();
+        CHECK(kindOf(response.status()) == ErrorKind::CorruptedAnswer);
+        CHECK(messageOf(response.status()).find("overflow") != std::string::npos);
+    }
+}
+
+TEST_CASE("a response that exceeds the limit of the client is an error")
+{
+    SilentPeer peer("HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n");
+    const auto response = HttpClient({.maxBodyBytes = 1000})
+                              .exchange(peer.address(), {"GET", "/", "", {}, ""},
+                                        BootClock::now() + Milliseconds(10'000));
+    peer.hangUp();
+    CHECK(kindOf(response.status()) == ErrorKind::CorruptedAnswer);
+}
+
 // Guards against memory reserved for a length that is only announced.
 TEST_CASE("a response that announces more than a client accepts is an error")
 {
