EventHttpServer: the sum over all connections is limited

Callers found an entry without descriptors: each connection was accepted, so a crowd took those with which the process reaches the store, minions and other entries, and idle or unfinished connections kept them until their timeout. Memory had a limit for bodies only; heads, buffers, responses and the connections themselves were outside of it, and bodies that were announced but never sent kept small requests out.

All of a connection's memory is accounted in one place, ConnectionRegistry. At the limit the connection that has waited longest without a complete request is closed for a new one, and incomplete requests are closed for smaller ones; a request that has reached the handler is never given up, as it may have run. So a caller that sends its request at once is served beside any number that do not.

--- a/src/include/lavenderarch/http/event_http_server.h
+++ b/src/include/lavenderarch/http/event_http_server.h
@@ -3,6 +3,7 @@
 
 #include "lavenderarch/core/address.h"
 #include "lavenderarch/core/status.h"
+#include "lavenderarch/http/event_server_limits.h"
 #include "lavenderarch/http/http_port_options.h"
 #include "lavenderarch/http/http_request.h"
 #include "lavenderarch/http/http_response.h"
@@ -16,9 +17,10 @@
 
 /// Serves HTTP/1.1 on any number of ports until destroyed. Handlers are called on the server's
 /// thread and must not block. A request whose body, chunk headers or trailers are too large gets
-/// status 413, one that is not HTTP status 400, and one that would exceed the memory for bodies
-/// status 503, all without a call of the handler. The metric lavender_http_refused_total counts
-/// these by the limit that was exceeded.
+/// status 413, one that is not HTTP status 400, and one that would exceed the memory of the server
+/// status 503, all without a call of the handler. Beyond the largest number of connections, one
+/// without a complete request is closed for each new one. The metric lavender_http_refused_total
+/// counts all these by the limit that was exceeded.
 class EventHttpServer
 {
 public:
@@ -29,7 +31,8 @@
     using Handler = std::function<void(HttpRequest, Respond)>;
 
     /// Fails with Internal when the system provides no thread. The metrics must outlive the server.
-    static StatusOr<std::unique_ptr<EventHttpServer>> start(Metrics &metrics);
+    static StatusOr<std::unique_ptr<EventHttpServer>> start(Metrics &metrics,
+                                                            const EventServerLimits &limits = {});
     /// Closes all connections; does not wait for responses.
     ~EventHttpServer();
     EventHttpServer(const EventHttpServer &) = delete;
--- a/src/libhttp/event_connection.cpp
+++ b/src/libhttp/event_connection.cpp
@@ -16,9 +16,6 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 
-/// Limit on the memory for bodies of all requests that are being read. A body counts with its
-/// declared length, or with the limit of its port.
-constexpr std::size_t maxReservedBytes = std::size_t{24} * 1024 * 1024;
 /// Time for which an idle connection stays open once there is no keep-alive any more.
 constexpr Milliseconds finalIdleTime{300};
 /// Time for which the input of a rejected request is read and discarded.
@@ -30,6 +27,27 @@
 /// whole chunk header with its extensions, and the trailers of a body at once.
 constexpr std::size_t maxBufferBytes = std::size_t{2} * maxHeadBytes;
 
+/// Memory of a connection without a request.
+constexpr std::size_t connectionBytes = 2048;
+/// Memory of the buffer and of the parsed head while a request is read.
+constexpr std::size_t headBytes = std::size_t{3} * maxHeadBytes;
+/// Memory that is counted for a request with a small body from its first byte on.
+constexpr std::size_t smallRequestBytes = headBytes + maxHeadBytes;
+
+/// Memory of a request of which `bodyBytes` are still to be read.
+std::size_t readingBytes(std::size_t bodyBytes)
+{
+    return std::max(smallRequestBytes, headBytes + bodyBytes);
+}
+
+std::size_t requestBytes(const HttpRequest &request)
+{
+    std::size_t bytes = request.path.size() + request.query.size() + request.body.size();
+    for (const auto &field : request.headers.fields())
+        bytes += sizeof field + field.first.size() + field.second.size();
+    return bytes;
+}
+
 std::string responseText(const HttpResponse &response, bool reusable)
 {
     std::string text = "HTTP/1.1 " + std::to_string(response.status) + " ";
@@ -81,32 +99,89 @@
     }
 }
 
-void ConnectionRegistry::closeIdlest()
+bool ConnectionRegistry::add(const ConnectionPtr &connection)
 {
-    ConnectionPtr idlest;
+    const bool full = m_connections.size() >= m_limits.maxConnections;
+    if (full)
+        countRefusal(
+            HttpLimit::Connections,
+            makeError(ErrorKind::Overloaded,
+                      "more than " + std::to_string(m_limits.maxConnections) + " connections"));
+    if (full && !closeOne())
+        return false;
+    m_connections.insert(connection);
+    account(*connection, connectionBytes);
+    return true;
+}
+
+bool ConnectionRegistry::closeOne()
+{
+    // Earlier deadlines began earlier, as all connections of a port wait for the same time.
+    const auto order = [](const EventConnection &connection) {
+        return std::pair(connection.state() == EventConnection::State::Reading,
+                         connection.deadline());
+    };
+    ConnectionPtr first;
     for (const ConnectionPtr &connection : m_connections) {
-        if (connection->idle() &&
-            (idlest == nullptr || connection->deadline() < idlest->deadline()))
-            idlest = connection;
+        if (connection->state() != EventConnection::State::Serving &&
+            (first == nullptr || order(*connection) < order(*first)))
+            first = connection;
     }
-    if (idlest != nullptr)
-        idlest->close();
+    if (first == nullptr)
+        return false;
+    first->close();
+    return true;
 }
 
 void ConnectionRegistry::shortenIdleTimes()
 {
     const BootTime deadline = BootClock::now() + finalIdleTime;
     for (const ConnectionPtr &connection : m_connections) {
-        if (connection->idle())
+        if (connection->state() == EventConnection::State::Idle)
             connection->setDeadline(std::min(connection->deadline(), deadline));
     }
 }
 
-bool ConnectionRegistry::reserve(std::size_t bytes)
+bool ConnectionRegistry::reserve(EventConnection &connection, std::size_t bytes)
 {
-    if (bytes > maxReservedBytes - m_reservedBytes)
+    const auto fits = [&] {
+        return m_memoryBytes - connection.memoryBytes() + bytes <= m_limits.maxMemoryBytes;
+    };
+    while (bytes > connection.memoryBytes() && !fits()) {
+        if (!closeLarger(connection, bytes))
+            return false;
+    }
+    account(connection, bytes);
+    return true;
+}
+
+void ConnectionRegistry::account(EventConnection &connection, std::size_t bytes)
+{
+    m_memoryBytes = m_memoryBytes - connection.memoryBytes() + bytes;
+    connection.setMemoryBytes(bytes);
+}
+
+bool ConnectionRegistry::closeLarger(const EventConnection &than, std::size_t bytes)
+{
+    // A small request displaces an older one of the same size: a client that does not complete its
+    // requests must not keep others out.
+    const bool small = bytes <= connectionBytes + smallRequestBytes;
+    const std::size_t least = small ? bytes : bytes + 1;
+    const auto order = [](const EventConnection &connection) {
+        return std::pair(connection.memoryBytes(), -connection.deadline().time_since_epoch());
+    };
+    ConnectionPtr largest;
+    for (const ConnectionPtr &connection : m_connections) {
+        if (connection.get() != &than && connection->state() == EventConnection::State::Reading &&
+            connection->memoryBytes() >= least &&
+            (largest == nullptr || order(*connection) > order(*largest)))
+            largest = connection;
+    }
+    if (largest == nullptr)
         return false;
-    m_reservedBytes += bytes;
+    countRefusal(HttpLimit::Memory,
+                 makeError(ErrorKind::Overloaded, "an incomplete request was closed for others"));
+    largest->close();
     return true;
 }
 
@@ -123,12 +198,13 @@
 
 EventConnection::~EventConnection()
 {
-    releaseBody();
+    m_registry.account(*this, 0);
 }
 
 void EventConnection::open()
 {
-    m_registry.add(shared_from_this());
+    if (!m_registry.add(shared_from_this()))
+        return; // closed with its last reference
     Error ignored;
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     awaitRequest();
@@ -139,20 +215,21 @@
     Error ignored;
     m_socket.close(ignored);
     m_deadline = BootTime::max();
+    m_registry.account(*this, 0);
     m_registry.remove(shared_from_this());
 }
 
 /// A connection without a request holds no buffer.
 void EventConnection::awaitRequest()
 {
-    releaseBody();
     m_parser.reset();
     if (m_buffer.size() > 0) {
         readHead();
         return;
     }
     m_buffer = beast::flat_buffer(maxBufferBytes);
-    m_idle = true;
+    m_state = State::Idle;
+    m_registry.account(*this, connectionBytes);
     m_deadline = BootClock::now() +
                  (m_registry.keepAlive() ? m_endpoint->options.idleTimeout : finalIdleTime);
     m_socket.async_wait(asio::ip::tcp::socket::wait_read,
@@ -166,8 +243,12 @@
 
 void EventConnection::readHead()
 {
-    m_idle = false;
+    m_state = State::Reading;
     m_deadline = BootClock::now() + m_endpoint->options.requestTimeout;
+    if (!m_registry.reserve(*this, connectionBytes + readingBytes(0))) {
+        reject(HttpLimit::Memory, makeError(ErrorKind::Overloaded, "too many requests at once"));
+        return;
+    }
     m_parser.emplace();
     m_parser->header_limit(maxHeadBytes);
     m_parser->body_limit(m_endpoint->options.maxBodyBytes);
@@ -209,12 +290,11 @@
     const auto length = m_parser->content_length();
     const std::size_t bytes =
         m_parser->chunked() ? m_endpoint->options.maxBodyBytes : std::size_t(length.value_or(0));
-    if (!m_registry.reserve(bytes)) {
+    if (!m_registry.reserve(*this, connectionBytes + readingBytes(bytes))) {
         reject(HttpLimit::Memory,
                makeError(ErrorKind::Overloaded, "too many large requests at once"));
         return;
     }
-    m_reservedBytes = bytes;
     if (m_parser->is_done()) {
         handle();
         return;
@@ -252,12 +332,16 @@
 
 void EventConnection::handle()
 {
+    m_state = State::Serving;
     m_deadline = BootTime::max();
     auto message = m_parser->release();
     m_parser.reset();
     const auto answer = makeRespond(message.keep_alive());
     m_registry.requestBegan();
     HttpRequest request = requestOf(message);
+    if (m_buffer.size() == 0)
+        m_buffer = beast::flat_buffer(maxBufferBytes);
+    m_registry.account(*this, connectionBytes + m_buffer.capacity() + requestBytes(request));
     const std::string method = request.method;
     const std::string path = request.path;
     try {
@@ -289,9 +373,12 @@
 void EventConnection::reject(HttpLimit limit, const Status &error)
 {
     m_registry.countRefusal(limit, error);
+    m_state = State::Rejecting;
+    m_parser.reset();
     m_buffer = beast::flat_buffer(maxBufferBytes);
     m_deadline = BootClock::now() + discardTime;
     m_output = responseText(errorResponse(error), false);
+    m_registry.account(*this, connectionBytes + m_output.capacity() + discardBytes);
     asio::async_write(m_socket, asio::buffer(m_output),
                       [self = shared_from_this()](const Error &failed, std::size_t) {
                           if (failed)
@@ -325,6 +412,7 @@
     const bool keepOpen = reusable && m_registry.keepAlive();
     m_deadline = BootClock::now() + m_endpoint->options.requestTimeout;
     m_output = responseText(response, keepOpen);
+    m_registry.account(*this, connectionBytes + m_buffer.capacity() + m_output.capacity());
     asio::async_write(m_socket, asio::buffer(m_output),
                       [self = shared_from_this(), keepOpen](const Error &error, std::size_t) {
                           self->m_registry.requestEnded();
@@ -336,10 +424,4 @@
                       });
 }
 
-void EventConnection::releaseBody()
-{
-    m_registry.release(m_reservedBytes);
-    m_reservedBytes = 0;
-}
-
 } // namespace lavenderarch
--- a/src/libhttp/event_connection.h
+++ b/src/libhttp/event_connection.h
@@ -4,6 +4,7 @@
 #include "http_refusals.h"
 #include "lavenderarch/core/boot_clock.h"
 #include "lavenderarch/http/event_http_server.h"
+#include "lavenderarch/http/event_server_limits.h"
 
 #include <atomic>
 #include <boost/asio/dispatch.hpp>
@@ -26,30 +27,40 @@
     EventHttpServer::Handler handler;
 };
 
-/// Owns the open connections and counts what they use. Used by the server's thread only, except for
-/// stopKeepAlive(), keepAlive() and activeRequests(). Outlives its connections.
+/// Owns the open connections and limits what they use together. Used by the server's thread only,
+/// except for stopKeepAlive(), keepAlive() and activeRequests(). Outlives its connections.
+///
+/// A connection whose request has been handed to the handler is never closed for the sake of
+/// another one: its request may have run.
 class ConnectionRegistry
 {
 public:
     using ConnectionPtr = std::shared_ptr<EventConnection>;
 
-    explicit ConnectionRegistry(Metrics &metrics)
-        : m_refusals(metrics)
+    ConnectionRegistry(Metrics &metrics, const EventServerLimits &limits)
+        : m_limits(limits)
+        , m_refusals(metrics)
     {
     }
 
-    void add(ConnectionPtr connection) { m_connections.insert(std::move(connection)); }
+    /// Adds a connection. If there are too many, closes another one, or returns false if none can
+    /// be closed.
+    bool add(const ConnectionPtr &connection);
     void remove(const ConnectionPtr &connection) { m_connections.erase(connection); }
 
     void closeAll();
     void closeExpired(BootTime now);
-    /// Closes the connection that has waited longest for a request.
-    void closeIdlest();
+    /// Closes a connection that has no request in progress: the one that has waited longest for a
+    /// request, else the one whose request has been incomplete for longest. False if there is none.
+    bool closeOne();
     void shortenIdleTimes();
 
-    /// Sets memory aside for a body; false if the bodies of all requests would exceed the limit.
-    bool reserve(std::size_t bytes);
-    void release(std::size_t bytes) { m_reservedBytes -= bytes; }
+    /// Counts `bytes` for `connection` in place of what it had. If the sum exceeds the limit,
+    /// closes connections with larger incomplete requests; false, without a change, if that is not
+    /// enough.
+    bool reserve(EventConnection &connection, std::size_t bytes);
+    /// The same without a limit, for what cannot be refused any more.
+    void account(EventConnection &connection, std::size_t bytes);
 
     void countRefusal(HttpLimit limit, const Status &error) { m_refusals.add(limit, error); }
 
@@ -60,9 +71,13 @@
     bool keepAlive() const { return m_keepAlive.load(); }
 
 private:
+    /// Closes the connection with the largest incomplete request that exceeds `bytes`.
+    bool closeLarger(const EventConnection &than, std::size_t bytes);
+
+    const EventServerLimits m_limits;
     HttpRefusals m_refusals;
-    std::set<ConnectionPtr> m_connections;
-    std::size_t m_reservedBytes = 0; ///< at most maxReservedBytes
+    std::set<ConnectionPtr> m_connections; ///< at most maxConnections
+    std::size_t m_memoryBytes = 0;         ///< sum over the connections
     std::atomic<int> m_active{0};
     std::atomic<bool> m_keepAlive{true};
 };
@@ -83,7 +98,17 @@
     void open();
     void close();
 
-    bool idle() const { return m_idle; }
+    enum class State {
+        Idle,     ///< waits for a request
+        Reading,  ///< has read a part of a request
+        Serving,  ///< the handler works, or the response is sent
+        Rejecting ///< has rejected a request, whose rest is discarded
+    };
+
+    State state() const { return m_state; }
+    /// Memory that the registry counts for this connection.
+    std::size_t memoryBytes() const { return m_memoryBytes; }
+    void setMemoryBytes(std::size_t bytes) { m_memoryBytes = bytes; }
     /// When the connection is closed unless its state changes; never while a handler works.
     BootTime deadline() const { return m_deadline; }
     void setDeadline(BootTime deadline) { m_deadline = deadline; }
@@ -108,15 +133,13 @@
     /// Discards up to `remaining` bytes that the peer still sends, so that it can read the response
     /// before a reset.
     void discardInput(std::size_t remaining);
-    void releaseBody();
-
     boost::asio::ip::tcp::socket m_socket;
     const std::shared_ptr<const ConnectionEndpoint> m_endpoint;
     ConnectionRegistry &m_registry;
     const std::weak_ptr<void> m_server;
-    bool m_idle = false;
+    State m_state = State::Idle;
     BootTime m_deadline = BootTime::max();
-    std::size_t m_reservedBytes = 0;    ///< for the body of the current request
+    std::size_t m_memoryBytes = 0;
     boost::beast::flat_buffer m_buffer; ///< input that is not parsed yet; at most maxBufferBytes
     std::optional<Parser> m_parser;     ///< set while a request is read
     std::string m_output;               ///< response that is being written
--- a/src/libhttp/event_http_server.cpp
+++ b/src/libhttp/event_http_server.cpp
@@ -33,8 +33,8 @@
 
 struct EventHttpServer::Impl : std::enable_shared_from_this<Impl>
 {
-    explicit Impl(Metrics &metrics)
-        : registry(metrics)
+    Impl(Metrics &metrics, const EventServerLimits &limits)
+        : registry(metrics, limits)
     {
     }
 
@@ -84,7 +84,7 @@
                     accept(port);
                     return;
                 }
-                registry.closeIdlest();
+                registry.closeOne();
                 port->retry.expires_after(acceptPause);
                 port->retry.async_wait([this, port](boost::system::error_code cancelled) {
                     if (!cancelled)
@@ -110,9 +110,10 @@
 {
 }
 
-StatusOr<std::unique_ptr<EventHttpServer>> EventHttpServer::start(Metrics &metrics)
+StatusOr<std::unique_ptr<EventHttpServer>> EventHttpServer::start(Metrics &metrics,
+                                                                  const EventServerLimits &limits)
 {
-    auto impl = std::make_shared<Impl>(metrics);
+    auto impl = std::make_shared<Impl>(metrics, limits);
     impl->sweepLater(); // also keeps the context running
     try {
         impl->thread = std::thread([running = impl.get()] { running->run(); });
--- a/src/libhttp/event_http_server_test.cpp
+++ b/src/libhttp/event_http_server_test.cpp
@@ -35,9 +35,10 @@
 }
 
 std::unique_ptr<EventHttpServer> startServer(const Address &address, const HttpPortOptions &options,
-                                             EventHttpServer::Handler handler)
+                                             EventHttpServer::Handler handler,
+                                             const EventServerLimits &limits = {})
 {
-    auto server = EventHttpServer::start(testMetrics());
+    auto server = EventHttpServer::start(testMetrics(), limits);
     REQUIRE(server.ok());
     REQUIRE((*server)->listen(address, options, std::move(handler)).ok());
     return *std::move(server);
@@ -335,6 +336,70 @@
     }
 }
 
+// Guards against connections that use up the descriptors with which the process reaches others.
+TEST_CASE("connections without a complete request make room for new ones")
+{
+    const Address address("127.0.0.1", 18203);
+    Respond kept;
+    std::atomic<bool> received{false};
+    const auto server = startServer(address, {},
+                                    [&](const HttpRequest &request, const Respond &respond) {
+                                        if (request.path != "/slow") {
+                                            respond({200, {}, "ok"});
+                                            return;
+                                        }
+                                        kept = respond;
+                                        received = true;
+                                    },
+                                    {.maxConnections = 10});
+    const RawConnection working(address);
+    working.send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n");
+    while (!received)
+        std::this_thread::yield();
+    std::vector<RawConnection> crowd;
+    for (int index = 0; index < 50; ++index) {
+        crowd.emplace_back(address);
+        if (index % 2 == 0)
+            crowd.back().send("GET / HTTP/1.1\r\nHost");
+    }
+    CHECK(crowd.front().receiveAll().empty()); // closed
+    const auto response = HttpClient().exchange(address, {}, testDeadline());
+    REQUIRE(response.ok());
+    CHECK(response->status == 200);
+    // A request that may have run is never given up.
+    kept({200, {}, "done"});
+    CHECK(working.receiveUntil("done").rfind("HTTP/1.1 200", 0) == 0);
+    CHECK(testMetrics().exposition().find("lavender_http_refused_total{limit=\"connections\"}") !=
+          std::string::npos);
+}
+
+// Guards against small requests that are refused while incomplete ones hold all the memory.
+TEST_CASE("incomplete requests make room for smaller ones")
+{
+    const Address address("127.0.0.1", 18204);
+    const auto server = startServer(address, {}, answerOk, {.maxMemoryBytes = 1'000'000});
+    std::vector<RawConnection> crowd;
+    for (const int size : {400'000, 300'000}) {
+        crowd.emplace_back(address);
+        crowd.back().send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(size) +
+                          "\r\n\r\nbegin");
+    }
+    for (int index = 0; index < 30; ++index) {
+        crowd.emplace_back(address);
+        crowd.back().send("GET / HTTP/1.1\r\nHost");
+    }
+    CHECK(crowd.front().receiveAll().empty()); // closed
+    for (const std::size_t size : {0, 10'000}) {
+        const auto response = HttpClient().exchange(
+            address, {"POST", "/", "", {}, std::string(size, 'x')}, testDeadline());
+        REQUIRE(response.ok());
+        CHECK(response->status == 200);
+    }
+    const RawConnection large(address);
+    large.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000000\r\n\r\n");
+    CHECK(large.receiveAll().rfind("HTTP/1.1 503", 0) == 0);
+}
+
 TEST_CASE("without keep-alive connections close after the next response, idle ones soon")
 {
     const Address address("127.0.0.1", 18199);
