--- a/src/include/lavenderarch/core/json.h
+++ b/src/include/lavenderarch/core/json.h
@@ -15,9 +15,19 @@
 /// Json value recurse.
 inline constexpr int maxJsonDepth = 64;
 
+/// Number of values beyond which a text is rejected. A parsed value takes up to 100 bytes, however
+/// short its text is.
+inline constexpr std::size_t maxJsonValues = 100'000;
+
+/// OK if `text` has at most `maxValues` values and is not nested too deeply. Exact up to the first
+/// syntax error, where parsing ends.
+Status checkJsonSize(std::string_view text, std::string_view what,
+                     std::size_t maxValues = maxJsonValues);
+
 /// Parses `text`, the only way to do so for a text that others wrote; `what` names the document in
 /// the error message.
-StatusOr<Json> parseJson(std::string_view text, std::string_view what);
+StatusOr<Json> parseJson(std::string_view text, std::string_view what,
+                         std::size_t maxValues = maxJsonValues);
 
 /// The text of `value`. Bytes that are not UTF-8 become replacement characters.
 std::string jsonText(const Json &value);
--- a/src/libcore/core_test.cpp
+++ b/src/libcore/core_test.cpp
@@ -98,6 +98,17 @@
     };
     CHECK(parseJson(nested(maxJsonDepth), "x").ok());
     CHECK_FALSE(parseJson(nested(maxJsonDepth + 1), "x").ok());
+    const auto list = [](std::size_t count) {
+        std::string text = "[0";
+        for (std::size_t number = 1; number < count; ++number)
+            text += ",0";
+        return text + "]";
+    };
+    // The array itself is a value, too, and so may be its first element.
+    CHECK(parseJson(list(maxJsonValues - 1), "x").ok());
+    CHECK_FALSE(parseJson(list(maxJsonValues + 1), "x").ok());
+    CHECK(parseJson(list(maxJsonValues + 1), "x", 2 * maxJsonValues).ok());
+    CHECK(parseJson("\"" + std::string(maxJsonValues + 1, ',') + "\"", "x").ok());
     CHECK_FALSE(parseJson(std::string(5'000'000, '['), "x").ok());
     std::string flat = "[";
     for (int item = 0; item < 1000; ++item)
--- a/src/libcore/json.cpp
+++ b/src/libcore/json.cpp
@@ -6,25 +6,6 @@
 namespace lavenderarch {
 namespace {
 
-/// Exact up to the first syntax error, where parsing ends.
-bool isNestedTooDeeply(std::string_view text)
-{
-    int depth = 0;
-    bool inString = false;
-    for (std::size_t at = 0; at < text.size(); ++at) {
-        const char letter = text[at];
-        if (inString && letter == '\\')
-            ++at;
-        else if (letter == '"')
-            inString = !inString;
-        else if (!inString && (letter == '[' || letter == '{') && ++depth > maxJsonDepth)
-            return true;
-        else if (!inString && (letter == ']' || letter == '}'))
-            --depth;
-    }
-    return false;
-}
-
 [[noreturn]] void throwOutOfRange(const Json &value, const std::string &field, IntegerRange range)
 {
     throw Json::other_error::create(501,
@@ -79,11 +60,37 @@
     return toInteger(value, field, range);
 }
 
-StatusOr<Json> parseJson(std::string_view text, std::string_view what)
+Status checkJsonSize(std::string_view text, std::string_view what, std::size_t maxValues)
+{
+    const auto invalid = [&](const std::string &problem) {
+        return makeError(ErrorKind::InvalidRequest, std::string(what) + ": " + problem);
+    };
+    int depth = 0;
+    std::size_t values = 1; // each array, object and comma begins at most one value
+    bool inString = false;
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        const char letter = text[at];
+        if (inString && letter == '\\') {
+            ++at;
+        } else if (letter == '"') {
+            inString = !inString;
+        } else if (!inString) {
+            const bool opens = letter == '[' || letter == '{';
+            if (opens && ++depth > maxJsonDepth)
+                return invalid("nested more than " + std::to_string(maxJsonDepth) + " deep");
+            if ((opens || letter == ',') && ++values > maxValues)
+                return invalid("more than " + std::to_string(maxValues) + " values");
+            if (letter == ']' || letter == '}')
+                --depth;
+        }
+    }
+    return absl::OkStatus();
+}
+
+StatusOr<Json> parseJson(std::string_view text, std::string_view what, std::size_t maxValues)
 {
-    if (isNestedTooDeeply(text))
-        return makeError(ErrorKind::InvalidRequest, std::string(what) + ": nested more than " +
-                                                        std::to_string(maxJsonDepth) + " deep");
+    if (Status size = checkJsonSize(text, what, maxValues); !size.ok())
+        return size;
     try {
         return Json::parse(text);
     } catch (const Json::exception &error) {
--- a/src/libdispatch/exchange_text.cpp
+++ b/src/libdispatch/exchange_text.cpp
@@ -131,6 +131,8 @@
 
 StatusOr<ExchangeRequest> readRequest(std::string_view text)
 {
+    if (Status size = checkJsonSize(text, "exchange"); !size.ok())
+        return size;
     auto fast = RequestReader::read(text);
     auto request = fast ? StatusOr<ExchangeRequest>(*std::move(fast))
                         : parseAs<ExchangeRequest>(text, "exchange");
