HTTP: a message has a largest number of header fields

A head of 16 kB may hold 4,000 fields. Each took more than ten times its text, and HttpHeaders::set compares a new field with all others: eight million comparisons on the one thread that serves all connections, or in a call to an endpoint. More than 128 fields are rejected with 400 (not run), or are a corrupted answer; clients of the platform send up to ten. Found by reading; the new tests fail without the limit, as 200 fields were accepted.

--- a/src/libhttp/event_connection.cpp
+++ b/src/libhttp/event_connection.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t discardBytes = std::size_t{16} * 1024;
 /// Largest size of request line and header fields.
 constexpr std::uint32_t maxHeadBytes = 16 * 1024;
+/// Most header fields: each takes more memory than its text, and is compared with all others.
+constexpr std::ptrdiff_t maxHeaderFields = 128;
 /// Largest input that a connection holds without having parsed it. The parser needs a whole head, a
 /// whole chunk header with its extensions, and the trailers of a body at once.
 constexpr std::size_t maxBufferBytes = std::size_t{2} * maxHeadBytes;
@@ -287,6 +289,12 @@
         close();
         return;
     }
+    if (std::distance(m_parser->get().begin(), m_parser->get().end()) > maxHeaderFields) {
+        reject(HttpLimit::Fields,
+               makeError(ErrorKind::InvalidRequest,
+                         "more than " + std::to_string(maxHeaderFields) + " header fields"));
+        return;
+    }
     const auto length = m_parser->content_length();
     const std::size_t bytes =
         m_parser->chunked() ? m_endpoint->options.maxBodyBytes : std::size_t(length.value_or(0));
--- a/src/libhttp/event_http_server_test.cpp
+++ b/src/libhttp/event_http_server_test.cpp
@@ -267,6 +267,21 @@
     CHECK(handled == 1);
 }
 
+TEST_CASE("a request has a largest number of header fields")
+{
+    const Address address("127.0.0.1", 18205);
+    const auto server = startServer(address, {}, answerOk);
+    for (const int count : {100, 200}) {
+        std::string head = "GET / HTTP/1.1\r\n";
+        for (int number = 0; number < count; ++number)
+            head += "f" + std::to_string(number) + ":\r\n";
+        const RawConnection connection(address);
+        connection.send(head + "Connection: close\r\n\r\n");
+        const std::string expected = count == 100 ? "HTTP/1.1 200" : "HTTP/1.1 400";
+        CHECK(connection.receiveAll().rfind(expected, 0) == 0);
+    }
+}
+
 TEST_CASE("a body is asked for when the caller waits for that")
 {
     const Address address("127.0.0.1", 18196);
--- a/src/libhttp/http_client.cpp
+++ b/src/libhttp/http_client.cpp
@@ -28,6 +28,8 @@
 constexpr std::size_t readChunkBytes = std::size_t{16} * 1024;
 /// Largest size of status line and header fields.
 constexpr std::uint32_t maxHeadBytes = 16 * 1024;
+/// Most header fields: each is compared with all others.
+constexpr std::ptrdiff_t maxHeaderFields = 128;
 /// Largest input that is held without having been parsed. The parser needs a whole head, a whole
 /// chunk header with its extensions, and the trailers of a body at once.
 constexpr std::size_t maxBufferBytes = std::size_t{2} * maxHeadBytes;
@@ -143,6 +145,8 @@
         if (error)
             return makeError(ErrorKind::OutcomeUnknown,
                              "no response from " + address.text() + ": " + error.message());
+        if (std::distance(parser.get().begin(), parser.get().end()) > maxHeaderFields)
+            return makeError(ErrorKind::CorruptedAnswer, "response has too many header fields");
         if (Status read = readBody(*socket, buffer, parser); !read.ok())
             return read;
         const bool reusable = parser.keep_alive() && buffer.size() == 0;
--- a/src/libhttp/http_deadline_test.cpp
+++ b/src/libhttp/http_deadline_test.cpp
@@ -112,6 +112,14 @@
     }
 }
 
+TEST_CASE("a response with too many header fields is an error")
+{
+    std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n";
+    for (int number = 0; number < 200; ++number)
+        response += "f" + std::to_string(number) + ":\r\n";
+    CHECK(errorOfCall(response + "\r\n") == ErrorKind::CorruptedAnswer);
+}
+
 TEST_CASE("a response that exceeds the limit of the client is an error")
 {
     SilentPeer peer("HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n");
