Log: texts of a line are cut after 1,024 bytes

The buffer of the log holds 512 lines, whatever their length, and a line of the callers' log has the method and the path as sent, up to 16 kB each and six times that when escaped: 100 MB while the output is not read. Found by reading; without the limit the new test of log_test fails, as two lines with texts of 100 kB fill the 64 kB of its pipe; with it they have less than 6 kB together.

--- a/src/libtelemetry/log.cpp
+++ b/src/libtelemetry/log.cpp
@@ -16,6 +16,14 @@
 /// Capacity of the buffer for standard output, in lines of about 200 bytes each.
 constexpr std::int64_t bufferCapacityLines = 512;
 
+/// Longest text of a field or message; what callers send may be far longer.
+constexpr std::size_t maxTextBytes = 1024;
+
+std::string_view shortened(std::string_view text)
+{
+    return text.substr(0, maxTextBytes);
+}
+
 /// The buffer of LogTarget::StandardOutput; null for the other target.
 std::shared_ptr<LineBuffer> standardOutputBuffer;
 
@@ -41,7 +49,7 @@
     explicit LineText(std::string_view message)
     {
         m_text = "\"message\": ";
-        appendQuoted(m_text, message);
+        appendQuoted(m_text, shortened(message));
     }
     void add(std::string_view name, std::string_view value)
     {
@@ -49,7 +57,7 @@
         m_hasFields = true;
         appendQuoted(m_text, name);
         m_text += ": ";
-        appendQuoted(m_text, value);
+        appendQuoted(m_text, shortened(value));
     }
     std::string finish() && { return std::move(m_text.append(m_hasFields ? " } }" : " }")); }
 
--- a/src/libtelemetry/log_test.cpp
+++ b/src/libtelemetry/log_test.cpp
@@ -76,6 +76,20 @@
     CHECK(parsed[3].at("context_map") == Json{{"job", "j"}, {"kind", "not-found"}});
 }
 
+// Guards against lines as long as what callers send: the buffer is limited in lines.
+TEST_CASE("long texts of a log line are shortened")
+{
+    CapturedOutput output;
+    startLogging("test", LogLevel::Info, LogTarget::StandardOutput);
+    const std::string longText(100'000, 'x');
+    logEvent(LogLevel::Info, "c", longText, {{"path", longText}});
+    logFailure("c", "refused", makeError(ErrorKind::NotFound, longText), {{"path", longText}});
+    stopLogging();
+    const std::string lines = output.finish();
+    CHECK(lines.size() > 2000);
+    CHECK(lines.size() < 6000);
+}
+
 TEST_CASE("a flush waits for all lines added before, but not longer than its deadline")
 {
     std::array<int, 2> ends{};
