Owner: the number of agents and the size of their names are limited

Names have at most 200 bytes, as keys of the store, and an owner knows 4,096 agents, sixteen times those of the largest cell. Beyond that an agent that has never registered a minion is forgotten for a new one; it was never sent an order, so nothing is lost with it. If all have minions, the new one is refused.

--- a/src/include/lavenderarch/dispatch/cell_dispatcher.h
+++ b/src/include/lavenderarch/dispatch/cell_dispatcher.h
@@ -60,6 +60,9 @@
     /// True if a task placed at `now` can be started in time.
     bool canStartInTime(BootTime now) const;
 
+    /// False if the agent is not known and there are too many others. Forgets one that has never
+    /// registered a minion, if that makes room.
+    bool admitAgent(const std::string &agent);
     /// Processes an agent's message. If `mayGrant` and the minion is reachable, a lease is assumed
     /// to start at `now`.
     void handleRequest(const ExchangeRequest &request, BootTime now, bool mayGrant);
--- a/src/include/lavenderarch/runtime/cell_host_exchange_impl.h
+++ b/src/include/lavenderarch/runtime/cell_host_exchange_impl.h
@@ -58,6 +58,8 @@
     }
     if (m_state == State::Loading)
         return loadingReply(request);
+    if (!m_dispatcher->admitAgent(request.agent))
+        return makeError(ErrorKind::Overloaded, "too many agents");
     call.stage = HeldCall::Stage::Polling;
     call.epoch = m_epoch;
     m_dispatcher->handleRequest(request, BootClock::now(), mayGrant);
--- a/src/libdispatch/cell_dispatcher_minions.cpp
+++ b/src/libdispatch/cell_dispatcher_minions.cpp
@@ -26,6 +26,23 @@
 
 } // namespace
 
+bool CellDispatcher::admitAgent(const std::string &agent)
+{
+    if (m_minions.count(agent) != 0 || m_minions.size() < m_limits.maxAgents)
+        return true;
+    // A view that was never sent an order and has no runs holds nothing that must be remembered.
+    const auto unused = std::find_if(m_minions.begin(), m_minions.end(), [](const auto &entry) {
+        const MinionView &view = entry.second;
+        return !view.registered && view.nextOrder == 1 && view.runs.empty() &&
+               view.unexpectedRuns.empty();
+    });
+    if (unused == m_minions.end())
+        return false;
+    m_agentsToWake.erase(unused->first);
+    m_minions.erase(unused);
+    return true;
+}
+
 void CellDispatcher::handleRequest(const ExchangeRequest &request, BootTime now, bool mayGrant)
 {
     MinionView &view = m_minions[request.agent];
--- a/src/libdispatch/exchange_text_test.cpp
+++ b/src/libdispatch/exchange_text_test.cpp
@@ -193,3 +193,15 @@
         CHECK_FALSE(readRequest(incomplete).ok());
     }
 }
+
+TEST_CASE("names in a message have a largest size")
+{
+    for (const auto name : {&ExchangeRequest::agent, &ExchangeRequest::session}) {
+        ExchangeRequest request = sampleSnapshot();
+        request.*name = std::string(200, 'a');
+        CHECK(readRequest(requestText(request)).ok());
+        request.*name += 'a';
+        CHECK(messageOf(readRequest(requestText(request)).status()).find("200 bytes") !=
+              std::string::npos);
+    }
+}
--- a/src/libdispatch/odd_rows_test.cpp
+++ b/src/libdispatch/odd_rows_test.cpp
@@ -194,3 +194,29 @@
     CHECK(ledger.runs().count(run) == 0);
     CHECK(ledger.snapshot(0).ends.size() == 1);
 }
+
+// Guards against an owner that keeps something for each agent that a message names.
+TEST_CASE("an owner knows a limited number of agents")
+{
+    DispatchLimits limits;
+    limits.maxAgents = 3;
+    CellDispatcher owner("svc", limits, 1);
+    owner.setCatalog(catalog());
+    const auto hear = [&](const std::string &agent, bool registered) {
+        ExchangeRequest request = snapshotOf(1);
+        request.agent = agent;
+        request.registered = registered;
+        request.facts.incarnation.id = "minion-of-" + agent;
+        const bool admitted = owner.admitAgent(agent);
+        if (admitted)
+            owner.handleRequest(request, now, true);
+        return admitted;
+    };
+    CHECK(hear("a", true));
+    CHECK(hear("b", true));
+    CHECK(hear("invented-0", false));
+    CHECK(hear("invented-1", false)); // in place of the other one
+    CHECK(hear("c", true));
+    CHECK_FALSE(hear("d", true)); // the others have minions
+    CHECK(hear("a", true));
+}
