Entry: jobs are refused when those of their cell leave too little memory

It cannot give up a job that was accepted, so the bound has to hold at acceptance, at any entry.

A job's state row carries the memory that its owner needs for it, estimated from its tasks, steps and texts, so that each entry, which follows these rows anyway, knows the sum of a cell. What it is accepting itself counts until its row is seen.

--- a/src/include/lavenderarch/dispatch/cell_tables.h
+++ b/src/include/lavenderarch/dispatch/cell_tables.h
@@ -31,6 +31,8 @@
 /// stateKey().
 RowKey queuedKey(const std::string &cell, const std::string &job);
 RowKey stateKey(const std::string &cell, const std::string &job);
+/// The cell of a row of stateTable.
+std::string cellOfState(const RowKey &key);
 RowKey progressKey(const std::string &cell, const std::string &job);
 RowKey ownerRowKey(const std::string &cell);
 RowKey successorRowKey(const std::string &cell);
--- a/src/include/lavenderarch/dispatch/job_spec.h
+++ b/src/include/lavenderarch/dispatch/job_spec.h
@@ -30,4 +30,7 @@
 /// Returns an error that names the first invalid field, or OK when `job` can be accepted.
 Status validateJob(const JobSpec &job);
 
+/// Memory in KiB, rounded up, that the owner of the job's cell needs for it until it ends.
+std::int64_t estimatedMemoryKib(const JobSpec &job);
+
 } // namespace lavenderarch
--- a/src/include/lavenderarch/runtime/job_frontend.h
+++ b/src/include/lavenderarch/runtime/job_frontend.h
@@ -4,6 +4,8 @@
 #include "lavenderarch/runtime/job_acceptor.h"
 #include "lavenderarch/runtime/job_state_cache.h"
 
+#include <limits>
+
 namespace lavenderarch {
 
 /// Timeout of one attempt to store a cancellation.
@@ -15,19 +17,28 @@
 class JobFrontend
 {
 public:
-    JobFrontend(Store &store, JobStateCache &states)
+    /// `cellMemoryKib` is the memory that the jobs of one cell may take at its owner.
+    JobFrontend(Store &store, JobStateCache &states,
+                std::int64_t cellMemoryKib = std::numeric_limits<std::int64_t>::max())
         : m_store(store)
         , m_states(states)
+        , m_cellMemoryKib(cellMemoryKib)
         , m_acceptor(store)
     {
     }
 
-    /// See JobAcceptor::accept.
+    /// See JobAcceptor::accept. Overloaded when the jobs of the cell leave too little memory.
     Status submit(const JobSpec &job, BootTime deadline)
     {
         if (m_states.find(job.id))
             return absl::OkStatus();
-        return m_acceptor.accept(job, deadline);
+        if (!m_states.admit(job.service, job.id, estimatedMemoryKib(job), m_cellMemoryKib))
+            return makeError(ErrorKind::Overloaded,
+                             "the jobs of " + job.service + " leave too little memory");
+        Status accepted = m_acceptor.accept(job, deadline);
+        if (!accepted.ok())
+            m_states.withdraw(job.id);
+        return accepted;
     }
 
     /// Applies a state row that was read from the store.
@@ -98,6 +109,7 @@
 private:
     Store &m_store;
     JobStateCache &m_states;
+    const std::int64_t m_cellMemoryKib;
     JobAcceptor<Store> m_acceptor;
 };
 
--- a/src/libdispatch/cell_tables.cpp
+++ b/src/libdispatch/cell_tables.cpp
@@ -77,16 +77,25 @@
 
 RowWrite queuedWrite(const std::string &cell, const JobSpec &job)
 {
-    const JobStateRow row{job.queue, JobPhase::Queued, job.occurrences > 0};
+    const JobStateRow row{job.queue, JobPhase::Queued, job.occurrences > 0,
+                          estimatedMemoryKib(job)};
     return {queuedKey(cell, job.id), jsonText(row), false};
 }
 
 RowWrite stateWrite(const std::string &cell, const JobSpec &job, JobPhase phase)
 {
-    const JobStateRow row{job.queue, phase, job.occurrences > 0};
+    const JobStateRow row{job.queue, phase, job.occurrences > 0,
+                          isFinal(phase) ? 0 : estimatedMemoryKib(job)};
     return {stateKey(cell, job.id), jsonText(row), false};
 }
 
+std::string cellOfState(const RowKey &key)
+{
+    const std::string suffix = inbox("");
+    const bool accepted = key.partition.ends_with(suffix);
+    return key.partition.substr(0, key.partition.size() - (accepted ? suffix.size() : 0));
+}
+
 RowWrite removal(RowKey key)
 {
     return {std::move(key), "", true};
--- a/src/libdispatch/dispatch_json.cpp
+++ b/src/libdispatch/dispatch_json.cpp
@@ -1,6 +1,8 @@
 // JSON serialization of the types whose keys differ from their member names. A missing key takes
 // the default of its member.
+#include "lavenderarch/core/json_fields.h"
 #include "lavenderarch/dispatch/exchange_reply.h"
+#include "lavenderarch/dispatch/job_state_row.h"
 #include "lavenderarch/dispatch/minion_facts.h"
 #include "lavenderarch/dispatch/step_spec.h"
 
@@ -47,6 +49,24 @@
     step.maxUnavailable = in.value("maxUnavailable", defaults.maxUnavailable);
 }
 
+void to_json(Json &out, const JobStateRow &row)
+{
+    out["queue"] = row.queue;
+    out["phase"] = row.phase;
+    out["timed"] = row.timed;
+    if (row.memoryKib != 0)
+        out["kib"] = row.memoryKib;
+}
+
+void from_json(const Json &in, JobStateRow &row)
+{
+    const JobStateRow defaults;
+    row.queue = in.value("queue", defaults.queue);
+    row.phase = in.value("phase", defaults.phase);
+    row.timed = in.value("timed", defaults.timed);
+    row.memoryKib = integerOr(in, "kib", defaults.memoryKib, {0, maxExactInteger});
+}
+
 void to_json(Json &out, const RunOrder &order)
 {
     out["sequence"] = order.sequence;
--- a/src/libdispatch/job_spec.cpp
+++ b/src/libdispatch/job_spec.cpp
@@ -7,6 +7,10 @@
 /// Limit on the tasks of one job, so that its progress fits into one row of the store (64 KiB).
 constexpr int maxTasksPerJob = 600;
 constexpr int maxOccurrences = 1'000'000;
+/// Memory of a job, of a step and of a task, without their texts.
+constexpr std::int64_t jobBytes = 2048;
+constexpr std::int64_t stepBytes = 512;
+constexpr std::int64_t taskBytes = 256;
 
 bool isDuration(std::int64_t milliseconds)
 {
@@ -66,4 +70,18 @@
     return absl::OkStatus();
 }
 
+std::int64_t estimatedMemoryKib(const JobSpec &job)
+{
+    constexpr std::int64_t bytesPerKib = 1024;
+    // The payload is copied into the orders of running tasks.
+    std::int64_t bytes = jobBytes + 2 * static_cast<std::int64_t>(job.payload.size());
+    for (const StepSpec &step : job.steps) {
+        const std::size_t texts =
+            step.requiredLabel.size() + step.preferredRack.size() + step.image.size();
+        bytes += stepBytes + taskBytes * step.count +
+                 static_cast<std::int64_t>(texts + sizeof(int) * step.after.size());
+    }
+    return (bytes + bytesPerKib - 1) / bytesPerKib;
+}
+
 } // namespace lavenderarch
--- a/src/libruntime/runtime_test.cpp
+++ b/src/libruntime/runtime_test.cpp
@@ -153,6 +153,53 @@
     CHECK(states.pending("q") == 2);
 }
 
+// Guards against jobs that a caller submits without end: the owner of the cell keeps each of them.
+TEST_CASE("jobs are refused when those of their cell leave too little memory")
+{
+    MemoryRows store;
+    JobStateCache states;
+    JobFrontend<MemoryRows> frontend(store, states, 4000);
+    JobSpec large = job("large");
+    large.steps.front().count = 100;
+    CHECK(estimatedMemoryKib(large) > 25);
+    int accepted = 0;
+    Status refused;
+    while (refused.ok()) {
+        large.id = "large" + std::to_string(accepted);
+        refused = frontend.submit(large, deadlineIn(2000));
+        accepted += refused.ok() ? 1 : 0;
+    }
+    CHECK(kindOf(refused) == ErrorKind::Overloaded);
+    CHECK(accepted > 20);
+    CHECK(states.memoryKib("svc") < 3000);
+    const auto row = store.readOne(cells::jobKey("svc", large.id), deadlineIn(2000));
+    REQUIRE(row.ok());
+    CHECK(row->version == 0); // what was refused is not stored
+    CHECK(frontend.submit(job("small"), deadlineIn(2000)).ok());
+    // A repeated attempt of an accepted job is not refused.
+    large.id = "large0";
+    CHECK(frontend.submit(large, deadlineIn(2000)).ok());
+
+    const RowWrite done = cells::stateWrite("svc", large, JobPhase::Done);
+    const std::int64_t before = states.memoryKib("svc");
+    frontend.applyState({done.key, done.value, 1000, false});
+    CHECK(states.memoryKib("svc") < before - 20);
+    frontend.applyState({done.key, "", 1001, true});
+    CHECK(states.memoryKib("svc") == before - estimatedMemoryKib(large));
+    large.id = "large" + std::to_string(accepted);
+    CHECK(frontend.submit(large, deadlineIn(2000)).ok());
+}
+
+TEST_CASE("a job that was not accepted takes no memory")
+{
+    MemoryRows store;
+    JobStateCache states;
+    JobFrontend<MemoryRows> frontend(store, states, 400);
+    store.setFault(MemoryRows::Fault::LoseResponse);
+    CHECK_FALSE(frontend.submit(job("a"), deadlineIn(200)).ok());
+    CHECK(states.memoryKib("svc") == 0);
+}
+
 // A job with a state row that cannot be parsed was subtracted from the count twice.
 TEST_CASE("a state row that cannot be parsed changes neither the state nor the pending count")
 {
