HttpServer: the bodies of all requests together have a limit

lavender-entry had 995 MB and lavender-agent 1,022 MB while 64 clients each sent a body of 8 MB but for its last byte; the nodes of the architecture have 256 MB. Each of the threads reads a body up to the limit of one, and the string that collects it doubles.

A server has 32 MB (setting bodyMemoryBytes of an entry) for all bodies above 64 KiB until they are answered; a body beyond that gets 503 (not run) before it is read, and its memory is reserved once. Smaller bodies are bounded by the number of threads and need no share of it, so that ordinary requests are answered beside any number of large ones.

--- a/src/include/lavenderarch/api/entry_settings.h
+++ b/src/include/lavenderarch/api/entry_settings.h
@@ -19,6 +19,7 @@
     std::vector<Address> peers;
     int threads = 256;
     std::size_t maxBodyBytes = std::size_t{8} * 1024 * 1024;
+    std::size_t bodyMemoryBytes = std::size_t{32} * 1024 * 1024;
     bool ownsCells = true;
     std::uint64_t seed = 0;
     bool baseline = false;
@@ -26,8 +27,9 @@
 
     friend bool operator==(const EntrySettings &, const EntrySettings &) = default;
     NLOHMANN_DEFINE_TYPE_INTRUSIVE_WITH_DEFAULT(EntrySettings, id, listen, dataCentre, region,
-                                                store, peers, threads, maxBodyBytes, ownsCells,
-                                                seed, baseline, logLevel)
+                                                store, peers, threads, maxBodyBytes,
+                                                bodyMemoryBytes, ownsCells, seed, baseline,
+                                                logLevel)
 };
 
 } // namespace lavenderarch
--- a/src/include/lavenderarch/http/http_server.h
+++ b/src/include/lavenderarch/http/http_server.h
@@ -12,17 +12,22 @@
 
 namespace lavenderarch {
 
+class Metrics;
+
 /// Serves requests until destroyed. The handler is called from many threads at once; an exception
-/// of it is answered with status 500. Requests over the body limit get status 413 without a call of
-/// the handler.
+/// of it is answered with status 500. Without a call of the handler, a request whose body is too
+/// large gets status 413, one whose body is malformed or incomplete status 400, and one that would
+/// exceed the memory for bodies status 503.
 class HttpServer
 {
 public:
     using Handler = std::function<HttpResponse(const HttpRequest &)>;
 
-    /// Starts listening; fails with Internal when the address is in use.
-    static StatusOr<std::unique_ptr<HttpServer>>
-    start(const Address &address, const HttpServerOptions &options, Handler handler);
+    /// Starts listening; fails with Internal when the address is in use. `metrics`, unless null,
+    /// counts refused requests in lavender_http_refused_total and must outlive the server.
+    static StatusOr<std::unique_ptr<HttpServer>> start(const Address &address,
+                                                       const HttpServerOptions &options,
+                                                       Handler handler, Metrics *metrics = nullptr);
     /// Stops listening and waits for the running handlers.
     ~HttpServer();
     HttpServer(const HttpServer &) = delete;
--- a/src/libapi/agent_daemon.cpp
+++ b/src/libapi/agent_daemon.cpp
@@ -126,9 +126,9 @@
     m_impl->announcer = std::make_unique<Announcer>([this] { return m_impl->makeAnnouncement(); },
                                                     RpcChannel(m_impl->client), m_impl->manifest,
                                                     std::vector<Address>());
-    auto server =
-        HttpServer::start(m_impl->settings.listen, options,
-                          [this](const HttpRequest &request) { return m_impl->handle(request); });
+    auto server = HttpServer::start(
+        m_impl->settings.listen, options,
+        [this](const HttpRequest &request) { return m_impl->handle(request); }, &m_impl->metrics);
     if (!server.ok())
         return server.status();
     m_impl->server = *std::move(server);
--- a/src/libapi/entry_daemon.cpp
+++ b/src/libapi/entry_daemon.cpp
@@ -156,13 +156,14 @@
     HttpServerOptions options;
     options.threads = m_impl->settings.threads;
     options.maxBodyBytes = m_impl->settings.maxBodyBytes;
+    options.bodyMemoryBytes = m_impl->settings.bodyMemoryBytes;
     m_impl->configTask =
         std::make_unique<PeriodicTask>(configInterval, [this] { m_impl->refreshConfig(); });
     m_impl->peerTask =
         std::make_unique<PeriodicTask>(peerInterval, [this] { m_impl->peers.exchangeWithAll(); });
-    auto server =
-        HttpServer::start(m_impl->settings.listen, options,
-                          [this](const HttpRequest &request) { return m_impl->handle(request); });
+    auto server = HttpServer::start(
+        m_impl->settings.listen, options,
+        [this](const HttpRequest &request) { return m_impl->handle(request); }, &m_impl->metrics);
     if (!server.ok())
         return server.status();
     m_impl->server = *std::move(server);
--- a/src/libhttp/http_server.cpp
+++ b/src/libhttp/http_server.cpp
@@ -1,25 +1,69 @@
 // HTTP server based on CivetWeb.
 #include "lavenderarch/http/http_server.h"
 
+#include "http_refusals.h"
 #include "lavenderarch/telemetry/log.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <civetweb.h>
 #include <cstring>
+#include <optional>
 
 namespace lavenderarch {
 namespace {
 
 constexpr std::size_t readChunkBytes = std::size_t{16} * 1024;
 
-enum class BodyResult { Complete, TooLarge, Incomplete };
+/// Largest body that is not counted as memory. Each thread reads one body at a time.
+constexpr std::size_t smallBodyBytes = std::size_t{64} * 1024;
+
+enum class BodyResult { Complete, TooLarge, Incomplete, NoMemory };
+
+/// Memory of one body, taken from what all bodies of a server may use, until destruction.
+class BodyMemory
+{
+public:
+    BodyMemory(std::atomic<std::size_t> &used, std::size_t limit)
+        : m_used(used)
+        , m_limit(limit)
+    {
+    }
+    ~BodyMemory() { m_used -= m_bytes; }
+    BodyMemory(const BodyMemory &) = delete;
+    BodyMemory &operator=(const BodyMemory &) = delete;
+
+    /// Takes memory for a body of up to `bytes`; false, without an effect, if others use too much.
+    /// No effect for a small body, and after the first call.
+    bool take(std::size_t bytes)
+    {
+        if (m_bytes > 0 || bytes <= smallBodyBytes)
+            return true;
+        if (m_used.fetch_add(bytes) + bytes > m_limit) {
+            m_used -= bytes;
+            return false;
+        }
+        m_bytes = bytes;
+        return true;
+    }
+
+private:
+    std::atomic<std::size_t> &m_used;
+    const std::size_t m_limit;
+    std::size_t m_bytes = 0;
+};
 
 BodyResult readBody(mg_connection *connection, long long contentLength, std::size_t limit,
-                    std::string &body)
+                    BodyMemory &memory, std::string &body)
 {
     if (contentLength > static_cast<long long>(limit))
         return BodyResult::TooLarge;
+    if (contentLength > 0) {
+        if (!memory.take(static_cast<std::size_t>(contentLength)))
+            return BodyResult::NoMemory;
+        body.reserve(static_cast<std::size_t>(contentLength));
+    }
     std::array<char, readChunkBytes> chunk;
     while (contentLength < 0 || body.size() < static_cast<std::size_t>(contentLength)) {
         const int count = mg_read(connection, chunk.data(), chunk.size());
@@ -27,9 +71,13 @@
             return BodyResult::Incomplete;
         if (count == 0)
             break;
-        body.append(chunk.data(), static_cast<std::size_t>(count));
-        if (body.size() > limit)
+        const std::size_t size = body.size() + static_cast<std::size_t>(count);
+        if (size > limit)
             return BodyResult::TooLarge;
+        // A body without a length may become as large as the limit.
+        if (size > smallBodyBytes && !memory.take(limit))
+            return BodyResult::NoMemory;
+        body.append(chunk.data(), static_cast<std::size_t>(count));
     }
     const bool complete =
         contentLength < 0 || body.size() == static_cast<std::size_t>(contentLength);
@@ -104,16 +152,25 @@
     HttpServerOptions options;
     std::atomic<int> active{0};
     std::atomic<bool> draining{false};
+    std::atomic<std::size_t> bodyMemory{0}; ///< used by bodies that are not small
+    std::optional<HttpRefusals> refusals;
     mg_context *context = nullptr;
 
     /// Answers a request whose body is not handed to the handler, and closes the connection.
-    int reject(mg_connection *connection, BodyResult body) const
+    int reject(mg_connection *connection, BodyResult body)
     {
-        const Status error =
-            body == BodyResult::TooLarge
-                ? makeError(ErrorKind::PayloadTooLarge,
-                            "body exceeds " + std::to_string(options.maxBodyBytes) + " bytes")
-                : makeError(ErrorKind::InvalidRequest, "the body is malformed or incomplete");
+        HttpLimit limit = HttpLimit::Syntax;
+        Status error = makeError(ErrorKind::InvalidRequest, "the body is malformed or incomplete");
+        if (body == BodyResult::TooLarge) {
+            limit = HttpLimit::Body;
+            error = makeError(ErrorKind::PayloadTooLarge,
+                              "body exceeds " + std::to_string(options.maxBodyBytes) + " bytes");
+        } else if (body == BodyResult::NoMemory) {
+            limit = HttpLimit::Memory;
+            error = makeError(ErrorKind::Overloaded, "too many large requests at once");
+        }
+        if (refusals)
+            refusals->add(limit, error);
         const HttpResponse response = errorResponse(error);
         writeResponse(connection, response, true);
         mg_disable_connection_keep_alive(connection);
@@ -129,9 +186,10 @@
         HttpRequest request = parseRequestHead(*info);
         const bool chunked = request.headers.find("Transfer-Encoding").has_value();
         const bool hasBody = chunked || info->content_length > 0;
-        const BodyResult body =
-            hasBody ? readBody(connection, info->content_length, options.maxBodyBytes, request.body)
-                    : BodyResult::Complete;
+        BodyMemory memory(bodyMemory, std::max(options.bodyMemoryBytes, options.maxBodyBytes));
+        const BodyResult body = hasBody ? readBody(connection, info->content_length,
+                                                   options.maxBodyBytes, memory, request.body)
+                                        : BodyResult::Complete;
         if (body != BodyResult::Complete)
             return reject(connection, body);
         const HttpResponse response = callHandler(handler, request);
@@ -153,10 +211,13 @@
         mg_stop(m_impl->context);
 }
 
-StatusOr<std::unique_ptr<HttpServer>>
-HttpServer::start(const Address &address, const HttpServerOptions &options, Handler handler)
+StatusOr<std::unique_ptr<HttpServer>> HttpServer::start(const Address &address,
+                                                        const HttpServerOptions &options,
+                                                        Handler handler, Metrics *metrics)
 {
     auto impl = std::make_unique<Impl>();
+    if (metrics != nullptr)
+        impl->refusals.emplace(*metrics);
     impl->handler = std::move(handler);
     impl->options = options;
     const std::string port = address.text();
