HttpServer: as many connections wait as there are threads

lavender-entry and lavender-agent had 509 of 512 descriptors open beside a crowd of 600 idle or unfinished connections, so that none were left for calls of their own: 1,024 accepted connections waited for a thread.

What stays: each connection holds one of the threads for up to 5 s, so the ordinary request is not answered within 30 s beside 600 that send nothing. CivetWeb offers no way to close such a connection for a new one.

--- a/src/include/lavenderarch/http/http_server.h
+++ b/src/include/lavenderarch/http/http_server.h
@@ -17,7 +17,8 @@
 /// Serves requests until destroyed. The handler is called from many threads at once; an exception
 /// of it is answered with status 500. Without a call of the handler, a request whose body is too
 /// large gets status 413, one whose body is malformed or incomplete status 400, and one that would
-/// exceed the memory for bodies status 503.
+/// exceed the memory for bodies status 503. As many connections as there are threads wait for one;
+/// further ones are not accepted until then.
 class HttpServer
 {
 public:
