RpcServer, jobs: large documents are limited before they are parsed

lavender-entry had 2,255 MB and lavender-agent 2,167 MB after four clients had each sent two documents of 2 MB with 700,000 values to three paths (16 clients of 8 MB: 14.9 GB): libjsonrpccpp parses a request into JsonCpp values, which take up to 150 bytes each, before any check of ours.

A request of more than 100,000 values is refused before it is parsed, and one of more than 1,000 is handled while no other is, since its tree exists in two forms.

--- a/src/libapi/job_submission.cpp
+++ b/src/libapi/job_submission.cpp
@@ -5,10 +5,16 @@
 #include "lavenderarch/core/digest.h"
 
 namespace lavenderarch {
+namespace {
+
+/// Most values of a job's document; a job has a dozen fields.
+constexpr std::size_t maxJobValues = 10'000;
+
+} // namespace
 
 StatusOr<JobSubmission> JobSubmission::parse(const std::string &text)
 {
-    const auto document = parseJson(text, "job");
+    const auto document = parseJson(text, "job", maxJobValues);
     if (!document.ok())
         return document.status();
     const Status valid = requireSchema(jobSchemaText, *document, "job is not valid:");
--- a/src/libprotocol/rpc_server.cpp
+++ b/src/libprotocol/rpc_server.cpp
@@ -10,10 +10,15 @@
 #include <jsonrpccpp/server/iprocedureinvokationhandler.h>
 #include <jsonrpccpp/server/requesthandlerfactory.h>
 #include <map>
+#include <mutex>
 
 namespace lavenderarch {
 namespace {
 
+/// Requests with more values are large: these are handled one at a time, as a parsed value takes up
+/// to 150 bytes in each of the two forms that a request is converted to.
+constexpr std::size_t smallRequestValues = 1000;
+
 std::string toText(const ::Json::Value &value)
 {
     ::Json::StreamWriterBuilder writer;
@@ -33,6 +38,8 @@
 struct RpcServer::Impl : public jsonrpc::IProcedureInvokationHandler
 {
     std::map<std::string, Method> methods;
+    std::mutex
+        largeRequests; ///< held while a large request is handled; the first in the lock order
     std::unique_ptr<jsonrpc::IProtocolHandler> protocol{
         jsonrpc::RequestHandlerFactory::createProtocolHandler(jsonrpc::JSONRPC_SERVER_V2, *this)};
 
@@ -68,6 +75,15 @@
 
 std::string RpcServer::handle(const std::string &request)
 {
+    std::unique_lock<std::mutex> large(m_impl->largeRequests, std::defer_lock);
+    if (!checkJsonSize(request, "request", smallRequestValues).ok()) {
+        if (const Status size = checkJsonSize(request, "request"); !size.ok())
+            return jsonText(
+                {{"jsonrpc", "2.0"},
+                 {"id", nullptr},
+                 {"error", {{"code", rpcCodeOf(kindOf(size))}, {"message", messageOf(size)}}}});
+        large.lock();
+    }
     std::string response;
     m_impl->protocol->HandleRequest(request, response);
     return response;
