Entry: a job that no row of the store holds is refused at once

A caller of an ordinary job got 504 after seconds when a job above 64 KiB was accepted with it: jobs are stored in transactions of up to 20, the store refuses a transaction with a row above 64 KiB or with more than 1 MB, and the entry repeats it until the callers' time is up.

Such a job is refused with 413 before anything is written: no attempt can ever store it. The jobs of one transaction have at most 600,000 bytes, 800,000 as base64. With both limits lifted the new tests of runtime_test fail: a job of 70 kB is written, and 20 jobs of 60 kB share a transaction of 1.2 MB.

--- a/src/include/lavenderarch/runtime/job_acceptor.h
+++ b/src/include/lavenderarch/runtime/job_acceptor.h
@@ -19,6 +19,10 @@
 /// Maximum number of jobs in one transaction. A transaction has at most 100 entries, and each job
 /// takes four of them.
 inline constexpr std::size_t maxJobsPerAcceptance = 20;
+/// Largest row of the store, and largest sum of the job rows in one transaction. A transaction has
+/// at most 1 MB, in which values take a third more than their size.
+inline constexpr std::size_t maxJobRowBytes = 65'536;
+inline constexpr std::size_t maxAcceptanceBytes = 600'000;
 /// Maximum number of concurrent transactions of one entry.
 inline constexpr int acceptanceThreads = 3;
 /// Delay between two attempts of a transaction.
@@ -63,10 +67,16 @@
     /// OK: the job is stored, by this call or an earlier one. StoreUnavailable: this call has not
     /// stored it and never will. Conflict: no call has stored it, and its cancellation keeps any
     /// from doing so. OutcomeUnknown: it may be stored, even after the call returns.
+    /// PayloadTooLarge: its row is too large for the store, so that no call can store it.
     Status accept(const JobSpec &job, BootTime deadline)
     {
         auto request = std::make_shared<Request>();
         request->job = job;
+        request->row = cells::jobWrite(job.service, job);
+        if (request->row.value.size() > maxJobRowBytes)
+            return makeError(ErrorKind::PayloadTooLarge,
+                             "the job takes " + std::to_string(request->row.value.size()) +
+                                 " bytes of at most " + std::to_string(maxJobRowBytes));
         request->deadline = deadline;
         request->refuseAt = BootClock::now() + refusalDelay;
         {
@@ -87,6 +97,7 @@
     struct Request
     {
         JobSpec job;
+        RowWrite row; // of the job
         BootTime deadline{};
         BootTime refuseAt{};          // when a definite refusal is answered
         bool maybeStored = false;     // an attempt had an unknown outcome
@@ -106,12 +117,17 @@
                     return;
                 // Jobs of one cell only, since a transaction changes a single partition.
                 const std::string cell = m_queue.front()->job.service;
+                std::size_t bytes = 0;
                 for (auto next = m_queue.begin();
                      next != m_queue.end() && batch.size() < maxJobsPerAcceptance;) {
-                    const bool same = (*next)->job.service == cell;
-                    if (same)
+                    const std::size_t size = (*next)->row.value.size();
+                    const bool taken =
+                        (*next)->job.service == cell && bytes + size <= maxAcceptanceBytes;
+                    if (taken) {
                         batch.push_back(*next);
-                    next = same ? m_queue.erase(next) : std::next(next);
+                        bytes += size;
+                    }
+                    next = taken ? m_queue.erase(next) : std::next(next);
                 }
             }
             storeBatch(std::move(batch));
@@ -135,7 +151,7 @@
                 const JobSpec &job = request->job;
                 change.conditions.push_back({cells::jobKey(job.service, job.id), 0});
                 change.conditions.push_back({cells::cancelKey(job.service, job.id), 0});
-                change.writes.push_back(cells::jobWrite(job.service, job));
+                change.writes.push_back(request->row);
                 change.writes.push_back(cells::queuedWrite(job.service, job));
             }
             const BootTime sentAt = BootClock::now();
--- a/src/libruntime/runtime_test.cpp
+++ b/src/libruntime/runtime_test.cpp
@@ -190,6 +190,39 @@
     CHECK(frontend.submit(large, deadlineIn(2000)).ok());
 }
 
+// Guards against jobs that no store takes: the others in their transaction were refused with them.
+TEST_CASE("a job that is too large for a row is refused at once")
+{
+    MemoryRows store;
+    JobStateCache states;
+    JobFrontend<MemoryRows> frontend(store, states);
+    JobSpec large = job("large");
+    large.payload = std::string(70'000, 'p');
+    CHECK(kindOf(frontend.submit(large, deadlineIn(2000))) == ErrorKind::PayloadTooLarge);
+    CHECK(store.attempts() == 0);
+    CHECK(states.memoryKib("svc") == 0);
+}
+
+TEST_CASE("jobs are stored in transactions that the store takes")
+{
+    MemoryRows store;
+    JobStateCache states;
+    JobFrontend<MemoryRows> frontend(store, states);
+    // The first transactions are repeated for a while, so that the other jobs wait together.
+    store.setFault(MemoryRows::Fault::Refuse);
+    std::vector<std::jthread> callers;
+    for (int number = 0; number < 30; ++number) {
+        callers.emplace_back([&, number] {
+            JobSpec large = job("large" + std::to_string(number));
+            large.payload = std::string(60'000, 'p');
+            CHECK(kindOf(frontend.submit(large, deadlineIn(5000))) == ErrorKind::StoreUnavailable);
+        });
+    }
+    callers.clear();
+    CHECK(store.largestCommitBytes() > 2 * 60'000);
+    CHECK(store.largestCommitBytes() < std::size_t{1024} * 1024 * 3 / 4);
+}
+
 TEST_CASE("a job that was not accepted takes no memory")
 {
     MemoryRows store;
--- a/src/testing/memory_rows.h
+++ b/src/testing/memory_rows.h
@@ -86,6 +86,13 @@
         return m_attempts;
     }
 
+    /// Size of the values of the largest commit, also of those that failed.
+    std::size_t largestCommitBytes() const
+    {
+        const std::scoped_lock lock(m_mutex);
+        return m_largestCommitBytes;
+    }
+
     /// Carries out the delayed commits whose conditions hold.
     void carryOutDelayed()
     {
@@ -113,6 +120,10 @@
     {
         std::unique_lock lock(m_mutex);
         ++m_attempts;
+        std::size_t bytes = 0;
+        for (const RowWrite &write : change.writes)
+            bytes += write.value.size();
+        m_largestCommitBytes = std::max(m_largestCommitBytes, bytes);
         ++m_heldCommits;
         m_changed.wait(lock, [&] { return !m_heldRow || !writesRow(change, *m_heldRow); });
         --m_heldCommits;
@@ -246,6 +257,7 @@
     Fault m_fault = Fault::None;
     int m_commits = 0;
     int m_attempts = 0;
+    std::size_t m_largestCommitBytes = 0;
     int m_failingReads = 0;
     int m_singleReads = 0;
     std::map<std::string, int> m_pageReads; // by table
