--- a/src/libruntime/runtime_test.cpp
+++ b/src/libruntime/runtime_test.cpp
@@ -210,8 +210,10 @@
     JobFrontend<MemoryRows> frontend(store, states);
     // The first transactions are repeated for a while, so that the other jobs wait together.
     store.setFault(MemoryRows::Fault::Refuse);
+    constexpr int jobs = 30;
     std::vector<std::jthread> callers;
-    for (int number = 0; number < 30; ++number) {
+    callers.reserve(jobs);
+    for (int number = 0; number < jobs; ++number) {
         callers.emplace_back([&, number] {
             JobSpec large = job("large" + std::to_string(number));
             large.payload = std::string(60'000, 'p');
