HTTP: server and client share the limits and the copying of a message

Found by reading the change once more. The event-driven server and the client each had their own copy of the limits on heads, fields and unparsed input and of the loop that copies fields; message_parsing.h has them once, so that a limit changes in one place. The largest name of an agent stood in the reader of messages and in the settings; it stands beside the message now.

--- a/src/include/lavenderarch/dispatch/exchange_request.h
+++ b/src/include/lavenderarch/dispatch/exchange_request.h
@@ -10,6 +10,9 @@
 
 namespace lavenderarch {
 
+/// Largest name of an agent, and of a session.
+inline constexpr std::size_t maxAgentNameBytes = 200;
+
 /// Value type. The snapshot (facts, runs, ends, orderSeen) is consistent. `number` increases with
 /// each message of a session, so that an older snapshot that arrives late is discarded.
 ///
--- a/src/libdispatch/exchange_text.cpp
+++ b/src/libdispatch/exchange_text.cpp
@@ -8,9 +8,6 @@
 namespace lavenderarch {
 namespace {
 
-/// Largest name of an agent or a session.
-constexpr std::size_t maxNameBytes = 200;
-
 /// Writes one JSON object; members come in the order of the calls. Values with a default are left
 /// out if they have it.
 class ObjectText
@@ -143,10 +140,10 @@
         return request;
     for (const auto &[field, name] :
          {std::pair("agent", &request->agent), std::pair("session", &request->session)}) {
-        if (name->size() > maxNameBytes)
+        if (name->size() > maxAgentNameBytes)
             return makeError(ErrorKind::InvalidRequest,
                              std::string("exchange: ") + field + " has more than " +
-                                 std::to_string(maxNameBytes) + " bytes");
+                                 std::to_string(maxAgentNameBytes) + " bytes");
     }
     const Status valid = validateFacts(request->facts);
     if (!valid.ok())
--- a/src/libhttp/event_connection.cpp
+++ b/src/libhttp/event_connection.cpp
@@ -3,6 +3,7 @@
 
 #include "lavenderarch/http/percent_encode.h"
 #include "lavenderarch/telemetry/log.h"
+#include "message_parsing.h"
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
@@ -21,13 +22,6 @@
 /// Time for which the input of a rejected request is read and discarded.
 constexpr Milliseconds discardTime{1000};
 constexpr std::size_t discardBytes = std::size_t{16} * 1024;
-/// Largest size of request line and header fields.
-constexpr std::uint32_t maxHeadBytes = 16 * 1024;
-/// Most header fields: each takes more memory than its text, and is compared with all others.
-constexpr std::ptrdiff_t maxHeaderFields = 128;
-/// Largest input that a connection holds without having parsed it. The parser needs a whole head, a
-/// whole chunk header with its extensions, and the trailers of a body at once.
-constexpr std::size_t maxBufferBytes = std::size_t{2} * maxHeadBytes;
 
 /// Memory of a connection without a request.
 constexpr std::size_t connectionBytes = 2048;
@@ -36,10 +30,10 @@
 /// Memory that is counted for a request with a small body from its first byte on.
 constexpr std::size_t smallRequestBytes = headBytes + maxHeadBytes;
 
-/// Memory of a request of which `bodyBytes` are still to be read.
+/// Memory of a connection while it reads a request with a body of `bodyBytes`.
 std::size_t readingBytes(std::size_t bodyBytes)
 {
-    return std::max(smallRequestBytes, headBytes + bodyBytes);
+    return connectionBytes + std::max(smallRequestBytes, headBytes + bodyBytes);
 }
 
 std::size_t requestBytes(const HttpRequest &request)
@@ -63,11 +57,6 @@
     return text + response.body;
 }
 
-std::string textOf(beast::string_view view)
-{
-    return {view.data(), view.size()};
-}
-
 template <typename Message>
 HttpRequest requestOf(Message &message)
 {
@@ -77,8 +66,7 @@
     const auto query = target.find('?');
     request.path = percentDecode(target.substr(0, query));
     request.query = query == std::string::npos ? "" : target.substr(query + 1);
-    for (const auto &field : message)
-        request.headers.set(textOf(field.name_string()), textOf(field.value()));
+    request.headers = headersOf(message);
     request.body = std::move(message.body());
     return request;
 }
@@ -167,7 +155,7 @@
 {
     // A small request displaces an older one of the same size: a client that does not complete its
     // requests must not keep others out.
-    const bool small = bytes <= connectionBytes + smallRequestBytes;
+    const bool small = bytes <= readingBytes(0);
     const std::size_t least = small ? bytes : bytes + 1;
     const auto order = [](const EventConnection &connection) {
         return std::pair(connection.memoryBytes(), -connection.deadline().time_since_epoch());
@@ -247,13 +235,12 @@
 {
     m_state = State::Reading;
     m_deadline = BootClock::now() + m_endpoint->options.requestTimeout;
-    if (!m_registry.reserve(*this, connectionBytes + readingBytes(0))) {
+    if (!m_registry.reserve(*this, readingBytes(0))) {
         reject(HttpLimit::Memory, makeError(ErrorKind::Overloaded, "too many requests at once"));
         return;
     }
     m_parser.emplace();
-    m_parser->header_limit(maxHeadBytes);
-    m_parser->body_limit(m_endpoint->options.maxBodyBytes);
+    limitParser(*m_parser, m_endpoint->options.maxBodyBytes);
     beast::http::async_read_header(
         m_socket, m_buffer, *m_parser,
         [self = shared_from_this()](const Error &error, std::size_t) { self->headRead(error); });
@@ -289,7 +276,7 @@
         close();
         return;
     }
-    if (std::distance(m_parser->get().begin(), m_parser->get().end()) > maxHeaderFields) {
+    if (hasTooManyFields(m_parser->get())) {
         reject(HttpLimit::Fields,
                makeError(ErrorKind::InvalidRequest,
                          "more than " + std::to_string(maxHeaderFields) + " header fields"));
@@ -298,7 +285,7 @@
     const auto length = m_parser->content_length();
     const std::size_t bytes =
         m_parser->chunked() ? m_endpoint->options.maxBodyBytes : std::size_t(length.value_or(0));
-    if (!m_registry.reserve(*this, connectionBytes + readingBytes(bytes))) {
+    if (!m_registry.reserve(*this, readingBytes(bytes))) {
         reject(HttpLimit::Memory,
                makeError(ErrorKind::Overloaded, "too many large requests at once"));
         return;
--- a/src/libhttp/http_client.cpp
+++ b/src/libhttp/http_client.cpp
@@ -5,6 +5,7 @@
 
 #include "client_socket.h"
 #include "lavenderarch/core/clock.h"
+#include "message_parsing.h"
 
 #include <algorithm>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -26,13 +27,6 @@
 constexpr std::size_t maxIdlePerAddress = 128;
 /// Initial size of the buffer of a response.
 constexpr std::size_t readChunkBytes = std::size_t{16} * 1024;
-/// Largest size of status line and header fields.
-constexpr std::uint32_t maxHeadBytes = 16 * 1024;
-/// Most header fields: each is compared with all others.
-constexpr std::ptrdiff_t maxHeaderFields = 128;
-/// Largest input that is held without having been parsed. The parser needs a whole head, a whole
-/// chunk header with its extensions, and the trailers of a body at once.
-constexpr std::size_t maxBufferBytes = std::size_t{2} * maxHeadBytes;
 
 using SocketPtr = std::unique_ptr<ClientSocket>;
 using ResponseParser = beast::http::response_parser<beast::http::string_body>;
@@ -55,18 +49,12 @@
     return text;
 }
 
-std::string textOf(beast::string_view view)
-{
-    return {view.data(), view.size()};
-}
-
 HttpResponse responseOf(ResponseParser &parser)
 {
     auto message = parser.release();
     HttpResponse response;
     response.status = static_cast<int>(message.result_int());
-    for (const auto &field : message)
-        response.headers.set(textOf(field.name_string()), textOf(field.value()));
+    response.headers = headersOf(message);
     response.body = std::move(message.body());
     return response;
 }
@@ -136,8 +124,7 @@
         beast::flat_buffer buffer(maxBufferBytes);
         buffer.reserve(readChunkBytes);
         ResponseParser parser;
-        parser.header_limit(maxHeadBytes);
-        parser.body_limit(options.maxBodyBytes);
+        limitParser(parser, options.maxBodyBytes);
         ClientSocket::Error error;
         beast::http::read_header(*socket, buffer, parser, error);
         if (error == beast::http::error::body_limit)
@@ -145,7 +132,7 @@
         if (error)
             return makeError(ErrorKind::OutcomeUnknown,
                              "no response from " + address.text() + ": " + error.message());
-        if (std::distance(parser.get().begin(), parser.get().end()) > maxHeaderFields)
+        if (hasTooManyFields(parser.get()))
             return makeError(ErrorKind::CorruptedAnswer, "response has too many header fields");
         if (Status read = readBody(*socket, buffer, parser); !read.ok())
             return read;
--- a/src/libhttp/http_refusals.cpp
+++ b/src/libhttp/http_refusals.cpp
@@ -30,10 +30,11 @@
 
 void HttpRefusals::add(HttpLimit limit, const Status &error)
 {
-    m_metrics.increment("lavender_http_refused_total", {{"limit", nameOf(limit)}});
-    if (const auto count = m_throttle.admit(nameOf(limit)))
+    const std::string name = nameOf(limit);
+    m_metrics.increment("lavender_http_refused_total", {{"limit", name}});
+    if (const auto count = m_throttle.admit(name))
         logFailure("http", "refused", error,
-                   {{"limit", nameOf(limit)}, {"refusedSoFar", std::to_string(*count)}});
+                   {{"limit", name}, {"refusedSoFar", std::to_string(*count)}});
 }
 
 } // namespace lavenderarch
--- a/src/libruntime/job_state_cache.cpp
+++ b/src/libruntime/job_state_cache.cpp
@@ -38,8 +38,9 @@
         job = removed ? eraseLocked(job) : std::next(job);
     }
     // The rows hold what was admitted before, or it was removed again unseen.
-    while (!m_admitted.empty())
-        withdrawLocked(std::string(m_admitted.begin()->first));
+    for (const auto &[job, admission] : m_admitted)
+        m_memoryKib[admission.cell] -= admission.memoryKib;
+    m_admitted.clear();
     for (const Row &row : rows)
         applyLocked(row);
 }
