--- a/testsuite/client_crowd_case.py
+++ b/testsuite/client_crowd_case.py
@@ -8,6 +8,7 @@
 import os
 import resource
 import socket
+import subprocess
 import threading
 import time
 from dataclasses import dataclass
@@ -46,6 +47,17 @@
 PORTS = ("callers", "readiness", "entry", "check-ins", "agent")
 
 
+@contextlib.contextmanager
+def limited_descriptors(count: int):
+    """Processes that are started within have at most `count` descriptors."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (count, hard))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, min(hard, 4096)), hard))
+
+
 class CrowdPlatform(Platform):
     """A platform whose programs have the limits of a small VM.
 
@@ -54,12 +66,8 @@
 
     def __init__(self, build: str, seed: int, minion_port: Optional[int] = None):
         self.minion_port = minion_port
-        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-        resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, hard))  # for the programs
-        try:
+        with limited_descriptors(DESCRIPTORS):
             super().__init__(build, seed)
-        finally:
-            resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, min(hard, 4096)), hard))
         self.jobs = 0
         for entry in range(len(self.entries)):
             self.check_ordinary_job(entry)
@@ -126,15 +134,18 @@
     return count
 
 
+def check_process(process: subprocess.Popen, name: str, memory_mb: int, most_sockets: int) -> None:
+    """The process lives, and has stayed within the memory and the sockets."""
+    assert process.poll() is None, f"{name} ended with {process.returncode}"
+    memory, sockets = peak_memory(process.pid), open_sockets(process.pid)
+    print(f"  {name} {memory:.0f} MB, {sockets} sockets", flush=True)
+    assert memory < memory_mb, f"{name} had {memory:.0f} of {memory_mb} MB"
+    assert sockets <= most_sockets, f"{name} has {sockets} of {most_sockets} sockets and pipes"
+
+
 def check_limits(program: Program, what: str) -> None:
-    vm = program.settings["vm"]
-    assert program.process.poll() is None, f"{what}: {vm} ended with {program.process.returncode}"
-    pid = program.process.pid
-    memory, sockets = peak_memory(pid), open_sockets(pid)
-    print(f"  {what}: {vm} {memory:.0f} MB, {sockets} sockets", flush=True)
-    assert memory < MEMORY_MB, f"{what}: {vm} had {memory:.0f} of {MEMORY_MB} MB"
-    most = DESCRIPTORS - FILE_DESCRIPTORS
-    assert sockets <= most, f"{what}: {vm} has {sockets} of {most} sockets and pipes"
+    check_process(program.process, f"{what}: {program.settings['vm']}", MEMORY_MB,
+                  DESCRIPTORS - FILE_DESCRIPTORS)
 
 
 def connect(port: int) -> socket.socket:
@@ -147,18 +158,22 @@
     return b""
 
 
-def flood(port: int, head: bytes, filler: bytes, answers: List[bytes]) -> None:
-    """Sends `head`, then `filler` until FLOOD_BYTES are sent or the server closes."""
-    lump = filler * (2**16 // len(filler))
+def exchange(port: int, parts: Iterable[bytes], answers: List[bytes]) -> None:
+    """Sends `parts` until the server closes, and adds the begin of its answer to `answers`."""
     with contextlib.suppress(OSError), connect(port) as connection:
         try:
-            connection.sendall(head)
-            for _ in range(FLOOD_BYTES // len(lump)):
-                connection.sendall(lump)
+            for part in parts:
+                connection.sendall(part)
         finally:
             answers.append(read_answer(connection))
 
 
+def flood(port: int, head: bytes, filler: bytes, answers: List[bytes]) -> None:
+    """Sends `head`, then `filler` until FLOOD_BYTES are sent or the server closes."""
+    lump = filler * (2**16 // len(filler))
+    exchange(port, [head] + [lump] * (FLOOD_BYTES // len(lump)), answers)
+
+
 def in_parallel(clients: int, act: Callable[[int], None]) -> None:
     threads = [threading.Thread(target=act, args=(client,)) for client in range(clients)]
     for thread in threads:
@@ -223,14 +238,20 @@
     flood_all_ports(build, 25, b"GET", b"", b"a: b\r\n")
 
 
-def hold_all_ports(build: str, seed: int, text: Callable[[int], bytes]) -> None:
-    """Opens HELD_CONNECTIONS connections that send `text` and nothing more; the ordinary request is
-    sent while they are held."""
+@contextlib.contextmanager
+def held_connections(port: int, count: int, text: Callable[[], bytes]):
+    """Opens connections that send `text` and nothing more, and holds those that the server keeps."""
+    with contextlib.ExitStack() as held:
+        for _ in range(count):
+            with contextlib.suppress(OSError):
+                held.enter_context(connect(port)).sendall(text())
+        yield
+
+
+def hold_all_ports(build: str, seed: int, text: Callable[[], bytes]) -> None:
+    """The ordinary request is sent while the connections are held."""
     def attack(target: Target) -> None:
-        with contextlib.ExitStack() as held:
-            for number in range(HELD_CONNECTIONS):
-                with contextlib.suppress(OSError):
-                    held.enter_context(connect(target.port)).sendall(text(number))
+        with held_connections(target.port, HELD_CONNECTIONS, text):
             check_limits(target.program, target.name)
             target.check_ordinary()
 
@@ -238,27 +259,19 @@
 
 
 def test_connections_without_request(build: str) -> None:
-    hold_all_ports(build, 31, lambda _: b"")
+    hold_all_ports(build, 31, lambda: b"")
 
 
 def test_connections_with_unfinished_head(build: str) -> None:
     # Short fields cost the most memory for a byte.
     fields = b"".join(b"%x:\r\n" % number for number in range(1900))
-    hold_all_ports(build, 32, lambda _: b"GET / HTTP/1.1\r\n" + HOST + fields)
+    hold_all_ports(build, 32, lambda: b"GET / HTTP/1.1\r\n" + HOST + fields)
 
 
 def test_connections_with_unfinished_body(build: str) -> None:
     body = b"x" * 200_000
     head = b"POST /q/0123456789abcdef HTTP/1.1\r\n" + HOST + b"Content-Length: 200001\r\n\r\n"
-    hold_all_ports(build, 33, lambda _: head + body)
-
-
-def exchange(port: int, text: bytes, answers: List[bytes]) -> None:
-    with contextlib.suppress(OSError), connect(port) as connection:
-        try:
-            connection.sendall(text)
-        finally:
-            answers.append(read_answer(connection))
+    hold_all_ports(build, 33, lambda: head + body)
 
 
 def post(path: bytes, body: bytes, method: bytes = b"POST") -> bytes:
@@ -276,7 +289,7 @@
         texts = [post(paths.get(target.name, b"/q/0123456789abcdef"), document, method)
                  for document in documents]
         for _ in range(len(texts)):
-            in_parallel(24, lambda client: exchange(target.port, texts[client % len(texts)], []))
+            in_parallel(24, lambda client: exchange(target.port, [texts[client % len(texts)]], []))
 
     on_each_port(build, 41, attack)
 
@@ -286,7 +299,7 @@
         def act(client: int) -> None:
             for number in range(400):
                 method = b"M%dX%dX" % (client, number) + b"M" * 8000
-                exchange(target.port, post(b"/q/0123456789abcdef", b"{}", method), [])
+                exchange(target.port, [post(b"/q/0123456789abcdef", b"{}", method)], [])
         in_parallel(8, act)
 
     on_each_port(build, 42, attack)
@@ -315,7 +328,7 @@
         def act(client: int) -> None:
             for number in range(250):
                 job = b"/q/%016x" % (0x5000 + client * 1000 + number)
-                exchange(platform.callers[number % 2], post(job, body), answers)
+                exchange(platform.callers[number % 2], [post(job, body)], answers)
         in_parallel(4, act)
         statuses = [answer.split(b" ", 2)[1] for answer in answers if answer]
         print("  answers:", {status: statuses.count(status) for status in set(statuses)},
@@ -385,7 +398,7 @@
                            "number": 1}
                 for entry in platform.entries:
                     exchange(entry.settings["ownPort"],
-                             post(b"/exchange/svc", json.dumps(message).encode()), [])
+                             [post(b"/exchange/svc", json.dumps(message).encode())], [])
         in_parallel(8, act)
         for entry in platform.entries:
             check_limits(entry, "agents")
--- a/testsuite/product_crowd_case.py
+++ b/testsuite/product_crowd_case.py
@@ -1,14 +1,13 @@
 """The product's own programs, lavender-entry and lavender-agent, while a crowd of clients sends what
 no well-behaved client sends. The checks are those of client_crowd_case.py.
 """
-import contextlib
 import json
-import resource
 from typing import Callable, List
 
 from case_runner import run_cases
-from client_crowd_case import (CHUNKED, FLOOD_CLIENTS, HOST, check_refusals, connect, exchange,
-                               flood, in_parallel, open_sockets, peak_memory, post)
+from client_crowd_case import (CHUNKED, FLOOD_CLIENTS, HOST, check_process, check_refusals,
+                               exchange, flood, held_connections, in_parallel, limited_descriptors,
+                               post)
 from local_deployment import Deployment, request, wait_until
 
 # Memory of a node of the largest deployment that the architecture aims at.
@@ -42,12 +41,7 @@
                        ANSWER_S, "the agent to answer a request", 0.1)
 
     def check_limits(self) -> None:
-        assert self.process.poll() is None, f"{self.name} ended with {self.process.returncode}"
-        memory, sockets = peak_memory(self.process.pid), open_sockets(self.process.pid)
-        print(f"  {self.name} {memory:.0f} MB, {sockets} sockets", flush=True)
-        assert memory < MEMORY_MB, f"{self.name} had {memory:.0f} of {MEMORY_MB} MB"
-        most = DESCRIPTORS - FREE_DESCRIPTORS
-        assert sockets <= most, f"{self.name} has {sockets} of {most} sockets and pipes"
+        check_process(self.process, self.name, MEMORY_MB, DESCRIPTORS - FREE_DESCRIPTORS)
 
 
 class LimitedDeployment(Deployment):
@@ -57,14 +51,11 @@
         super().__init__(build, entries=1, agents=1, workers=1, agent_threads=THREADS)
 
     def spawn(self, name: str, program: str, settings: dict):
-        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-        if name != "standin":
-            resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, hard))
-            settings = dict(settings, threads=THREADS)
-        try:
+        if name == "standin":
             super().spawn(name, program, settings)
-        finally:
-            resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, min(hard, 4096)), hard))
+            return
+        with limited_descriptors(DESCRIPTORS):
+            super().spawn(name, program, dict(settings, threads=THREADS))
 
 
 def on_each_program(build: str, attack: Callable[[ProductTarget], None]) -> None:
@@ -117,10 +108,7 @@
 
 def hold_on_each_program(build: str, connections: int, text: Callable[[ProductTarget], bytes]):
     def attack(target: ProductTarget) -> None:
-        with contextlib.ExitStack() as held:
-            for _ in range(connections):
-                with contextlib.suppress(OSError):
-                    held.enter_context(connect(target.port)).sendall(text(target))
+        with held_connections(target.port, connections, lambda: text(target)):
             target.check_limits()
             target.check_ordinary()
             target.check_limits()
@@ -153,7 +141,7 @@
     def attack(target: ProductTarget) -> None:
         for path in (b"/rpc", b"/v1/jobs", target.path):
             in_parallel(4, lambda client: exchange(
-                target.port, post(path, documents[client % len(documents)]), []))
+                target.port, [post(path, documents[client % len(documents)])], []))
 
     on_each_program(build, attack)
 
