--- a/review/stand_ins_3/deployment.py
+++ b/review/stand_ins_3/deployment.py
@@ -1,6 +1,7 @@
 """Starts the two platform programs of the deploy file against the stand-ins, on loopback."""
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -17,6 +18,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 HOST = "jobs.example"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+_given = set()
 
 
 class CannotRun(Exception):
@@ -28,12 +30,19 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Free ports below those that the system gives to outgoing channels, which could take one
+    before the program that it is meant for has started."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(15_000, 32_000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in _given:
+            _given.add(port)
+            ports.append(port)
     return ports
 
 
--- a/review/stand_ins_3/minion_stand_in.py
+++ b/review/stand_ins_3/minion_stand_in.py
@@ -23,6 +23,7 @@
         self.capacity = capacity
         self.hold_max_ms = hold_max_ms
         self.labels = ["a", rack]
+        self.checkpoint_chars = 16
         self.history = []
         self.told = []
         self.calls = []
@@ -85,13 +86,15 @@
         self._next_end += 1
         self._lock.notify_all()
 
-    @staticmethod
-    def _saved(run):
-        """Sixteen characters that name the saved work, as in the examples of the page."""
+    def _saved(self, run):
+        """Characters that stand for the saved work; sixteen, as in the page's examples, or more."""
         if not run["spec"].get("saves"):
             return ""
         steps = int((time.monotonic() - run["start"]) / CHECKPOINT_S)
-        return f"{steps:08x}{hash(run['task']) & 0xffffffff:08x}" if steps else ""
+        if not steps:
+            return ""
+        text = f"{steps:08x}{hash(run['task']) & 0xffffffff:08x}"
+        return (text * (self.checkpoint_chars // len(text) + 1))[:self.checkpoint_chars]
 
     def _check_in(self):
         while not self.stopped:
