--- a/review/stand_ins_3/minion_stand_in.py
+++ b/review/stand_ins_3/minion_stand_in.py
@@ -2,7 +2,8 @@
 
 The spec of a task is a JSON text: `ms` is its work in milliseconds. `how` is `failed` for one that
 fails by its own fault. `saves` makes it checkpoint. `serves` is the tail latency in milliseconds of
-a task that lasts; `fills` is the cpu that a task in use takes.
+a task that lasts; `fills` is the cpu that a task in use takes. `gang` is the number of members that
+have to be present before the work begins.
 """
 import json
 import threading
@@ -12,6 +13,10 @@
 
 ENDS_AT_ONCE = 500
 CHECKPOINT_S = 1.0
+GANG_TIMEOUT_S = 3.0
+
+_gangs = {}  # (step, run): the members that are present, on all minions
+_gangs_lock = threading.Lock()
 
 
 class Minion:
@@ -73,6 +78,11 @@
                 for task, run in list(self._running.items()):
                     if lapsed:
                         self._end(task, "lapsed")
+                    elif run["broken"]:
+                        self._end(task, "broken")
+                    elif run["due"] is None:
+                        if now >= run["start"] + GANG_TIMEOUT_S:
+                            self._end(task, "alone")
                     elif now >= run["due"]:
                         self._end(task, run["ends"])
 
@@ -80,12 +90,32 @@
         run = self._running.pop(task)
         saved = self._saved(run) if how != "done" else ""
         run.update(end=time.monotonic(), how=how)
+        self._leave_gang(run)
         self._highest[task] = max(self._highest.get(task, 0), run["run"])
         self._ended.append([self._next_end, task, run["run"], how, saved])
         run["number"] = self._next_end
         self._next_end += 1
         self._lock.notify_all()
 
+    @staticmethod
+    def _join_gang(run):
+        """The work of all members begins when the last one is present."""
+        with _gangs_lock:
+            members = _gangs.setdefault((run["task"].rsplit(".", 1)[0], run["run"]), [])
+            members.append(run)
+            if len(members) == run["spec"]["gang"]:
+                for member in members:
+                    member["due"] = time.monotonic() + run["spec"]["ms"] / 1000
+
+    @staticmethod
+    def _leave_gang(run):
+        """An end other than as done breaks the others off."""
+        if "gang" not in run["spec"] or run["how"] in ("done", "broken"):
+            return
+        with _gangs_lock:
+            for member in _gangs.get((run["task"].rsplit(".", 1)[0], run["run"]), []):
+                member["broken"] = member["end"] is None
+
     def _saved(self, run):
         """Characters that stand for the saved work; sixteen, as in the page's examples, or more."""
         if not run["spec"].get("saves"):
@@ -152,10 +182,13 @@
         spec = json.loads(document["spec"])
         now = time.monotonic()
         entry = {"task": task, "run": run, "start": now, "end": None, "how": "running",
-                 "ends": spec.get("how", "done"), "due": now + spec["ms"] / 1000, "spec": spec,
+                 "ends": spec.get("how", "done"), "spec": spec,
+                 "due": None if "gang" in spec else now + spec["ms"] / 1000, "broken": False,
                  "pace": 100, "minion": self.name, "checkpoint": document.get("checkpoint", "")}
         self._running[task] = entry
         self.history.append(entry)
+        if "gang" in spec:
+            self._join_gang(entry)
         return 200, self._stamp({})
 
     def _stop(self, document):
